--- a/lib/net/sl_client.c
+++ b/lib/net/sl_client.c
@@ -331,8 +331,8 @@
         return;
     }
     link->keep_alive = false;
-    if ((what & BEV_EVENT_EOF) != 0 && SlReader_Close(&link->reader)) {
-        (void)end_message(link);
+    if ((what & BEV_EVENT_EOF) != 0 && SlReader_Close(&link->reader) &&
+        !end_message(link)) {
         return;
     }
     if (link->call != NULL) {
--- a/lib/router/sl_exchange.c
+++ b/lib/router/sl_exchange.c
@@ -7,6 +7,10 @@
 /* Whole answers are kept until they have ended; larger ones are an error. */
 #define Sl_MAX_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
 
+/* Answers of smaller models are passed on from this confidence on; chosen by
+ * the table in docs/design/cascade-by-confidence.md. */
+#define Sl_ACCEPT_CONFIDENCE 65
+
 /* ---- calls ---- */
 
 static struct sl_str
@@ -33,6 +37,7 @@
     SlBuf_Clear(&exchange->headers);
     SlBuf_Clear(&exchange->body);
     SlEvents_Clear(&exchange->events);
+    exchange->events_taken = 0;
     flight->tries++;
     if (flight->tried_count < Sl_MAX_TRIED) {
         flight->tried[flight->tried_count++] = upstream->reg.id;
@@ -139,6 +144,18 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+/* Is the answer of a small model too doubtful to be passed on? */
+static bool
+wants_larger_model(const struct sl_flight *flight)
+{
+    const struct sl_answer_head *head = &flight->exchange.head;
+    return SlStr_Equal(flight->ask.model, Sl_STR("*")) && is_success(head) &&
+           flight->state != Sl_FLIGHT_PASSING &&
+           flight->model + 1 < flight->route->model_count &&
+           head->confidence >= 0 && head->confidence < Sl_ACCEPT_CONFIDENCE &&
+           flight->runs + 1 < flight->route->max_attempts;
+}
+
 void
 SlExchange_OnHead(struct sl_router *router, uint64_t token,
                   const struct sl_answer_head *head)
@@ -156,6 +173,12 @@
     exchange->head.headers = SlBuf_Str(&exchange->headers);
     SlUpstreams_OnLoad(router, exchange->upstream, head);
     log_head(router, flight);
+    if (wants_larger_model(flight)) {
+        SlExchange_Cancel(router, flight);
+        flight->runs++;
+        flight->model = flight->route->model_count - 1;
+        SlWaiting_Add(router, flight);
+    }
 }
 
 /* Passes the stream's whole events on. */
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -274,7 +274,7 @@
     flight->may_repeat = route->kind == Sl_ROUTE_IDEMPOTENT ||
                          (route->kind == Sl_ROUTE_STREAM && route->resumable);
     flight->last_event = ask->last_event;
-    flight->model = route->model_count > 0 ? route->model_count - 1 : 0;
+    flight->model = 0;
     g_hash_table_insert(router->flights, &flight->conn, flight);
     flight->timer = SlTimers_Subscribe(router->timers, flight->deadline_us,
                                        on_deadline, router, flight->conn);
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -125,6 +125,11 @@
     case Sl_REV_DRAIN:
         start_drain(router);
         break;
+    case Sl_REV_BOUNDS:
+        router->options.bounds = event->u.bounds;
+        SlLine_Begin(router, "reloaded");
+        SlLine_End(router, Sl_LOG_INFO);
+        break;
     case Sl_REV_REQUEST:
         SlFlight_Start(router, &event->u.ask);
         break;
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -203,6 +203,7 @@
 enum sl_router_event_type {
     Sl_REV_TICK,        /* only time has passed */
     Sl_REV_DRAIN,       /* leave: say so in readiness, finish the work */
+    Sl_REV_BOUNDS,      /* u.bounds: the settings were read again */
     Sl_REV_REQUEST,     /* u.ask */
     Sl_REV_CALLER_GONE, /* u.conn */
     Sl_REV_ANSWER_HEAD, /* u.answer */
@@ -218,6 +219,7 @@
     int64_t wall_ms; /* since the epoch; may jump */
     const struct sl_error *err;
     union {
+        struct sl_bounds bounds;
         struct sl_ask ask;
         uint64_t conn;
         struct {
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -172,6 +172,25 @@
     dispatch(context, &event);
 }
 
+static bool load_settings(struct sl_platform_settings *settings);
+
+/* Bounds may change while the process runs; addresses may not. */
+static void
+on_reload(evutil_socket_t fd, short what, void *context)
+{
+    struct sl_router_shell *shell = context;
+    struct sl_platform_settings settings;
+    struct sl_router_event event = {.type = Sl_REV_BOUNDS};
+    (void)fd;
+    (void)what;
+    if (!load_settings(&settings)) {
+        log_fields(shell, Sl_LOG_ERROR, Sl_STR("\"event\":\"reload_failed\""));
+        return;
+    }
+    event.u.bounds = settings.bounds;
+    dispatch(shell, &event);
+}
+
 /* ---- callers ---- */
 
 static void
@@ -560,11 +579,15 @@
             evsignal_new(shell.base, SIGTERM, on_terminate, &shell);
         struct event *interrupt =
             evsignal_new(shell.base, SIGINT, on_terminate, &shell);
+        struct event *reload =
+            evsignal_new(shell.base, SIGHUP, on_reload, &shell);
         event_add(terminate, NULL);
         event_add(interrupt, NULL);
+        event_add(reload, NULL);
         log_fields(&shell, Sl_LOG_INFO, Sl_STR("\"event\":\"started\""));
         on_timer(-1, 0, &shell);
         event_base_dispatch(shell.base);
+        event_free(reload);
         event_free(interrupt);
         event_free(terminate);
         code = Sl_EXIT_OK;
