--- /dev/null
+++ b/lib/gossip/sl_gossip.c
@@ -0,0 +1,273 @@
+/* Digests to msgpack and back: nested arrays in the order of the structs. */
+#include "sl_gossip.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+static const char step[] = "gossip.decode";
+
+/* Bytes that everything but loads and sessions may take. */
+#define Sl_FIXED_BYTES 700
+/* Most bytes of one load, and of one session. */
+#define Sl_LOAD_BYTES 16
+#define Sl_SESSION_BYTES 5
+
+#define Sl_DIGEST_FIELDS 9
+#define Sl_LOAD_FIELDS 3
+#define Sl_ROLLOUT_FIELDS 5
+#define Sl_TALLY_FIELDS 5
+
+/* ---- encode ---- */
+
+static void
+pack_name(msgpack_packer *packer, const struct sl_name *name)
+{
+    msgpack_pack_str(packer, name->len);
+    msgpack_pack_str_body(packer, name->text, name->len);
+}
+
+static void
+pack_rollout(msgpack_packer *packer, const struct sl_gossip_rollout *rollout,
+             size_t session_count)
+{
+    msgpack_pack_array(packer, Sl_ROLLOUT_FIELDS);
+    msgpack_pack_uint64(packer, rollout->order);
+    msgpack_pack_uint32(packer, rollout->elapsed_ms);
+    msgpack_pack_uint32(packer, rollout->base_in_flight);
+    msgpack_pack_array(packer, rollout->tally_count);
+    for (size_t i = 0; i < rollout->tally_count; i++) {
+        const struct sl_gossip_tally *tally = &rollout->tallies[i];
+        msgpack_pack_array(packer, Sl_TALLY_FIELDS);
+        msgpack_pack_uint32(packer, tally->route);
+        msgpack_pack_uint32(packer, tally->target_answers);
+        msgpack_pack_uint32(packer, tally->target_bad);
+        msgpack_pack_uint32(packer, tally->base_answers);
+        msgpack_pack_uint32(packer, tally->base_bad);
+    }
+    msgpack_pack_array(packer, session_count);
+    for (size_t i = 0; i < session_count; i++) {
+        msgpack_pack_uint32(packer, rollout->sessions[i]);
+    }
+}
+
+static void
+pack_digest(msgpack_packer *packer, const struct sl_gossip *digest)
+{
+    size_t room = Sl_GOSSIP_MAX_BYTES - Sl_FIXED_BYTES;
+    size_t loads = MIN(digest->load_count, room / Sl_LOAD_BYTES);
+    room -= loads * Sl_LOAD_BYTES;
+    msgpack_pack_array(packer, Sl_DIGEST_FIELDS);
+    msgpack_pack_int(packer, Sl_GOSSIP_VERSION);
+    pack_name(packer, &digest->vm);
+    pack_name(packer, &digest->domain);
+    pack_name(packer, &digest->address);
+    msgpack_pack_uint64(packer, digest->boot);
+    msgpack_pack_uint64(packer,
+                        digest->sequence << 1 | (digest->leaving ? 1 : 0));
+    msgpack_pack_array(packer, Sl_GOSSIP_FEEDS);
+    for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+        msgpack_pack_uint64(packer, digest->offsets[i]);
+    }
+    msgpack_pack_array(packer, loads);
+    for (size_t i = 0; i < loads; i++) {
+        msgpack_pack_array(packer, Sl_LOAD_FIELDS);
+        msgpack_pack_uint32(packer, digest->loads[i].upstream);
+        msgpack_pack_uint32(packer, digest->loads[i].in_flight);
+        msgpack_pack_uint32(packer, digest->loads[i].backlog_ms);
+    }
+    msgpack_pack_array(packer, digest->rollout_count);
+    for (size_t i = 0; i < digest->rollout_count; i++) {
+        size_t sessions =
+            MIN(digest->rollouts[i].session_count, room / Sl_SESSION_BYTES);
+        room -= sessions * Sl_SESSION_BYTES;
+        pack_rollout(packer, &digest->rollouts[i], sessions);
+    }
+}
+
+static int
+write_bytes(void *data, const char *bytes, size_t len)
+{
+    SlBuf_Append(data, (struct sl_str){bytes, len});
+    return 0;
+}
+
+void
+SlGossip_Encode(const struct sl_gossip *digest, struct sl_buf *out)
+{
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, out, write_bytes);
+    pack_digest(&packer, digest);
+}
+
+/* ---- decode ---- */
+
+/* Reads an array's items in order; `ok` turns false on the first mistake. */
+struct sl_items {
+    const msgpack_object *at;
+    size_t left;
+    bool ok;
+};
+
+static const msgpack_object *
+next_item(struct sl_items *items, msgpack_object_type type)
+{
+    if (items->left == 0 || items->at->type != type) {
+        items->ok = false;
+        return NULL;
+    }
+    items->left--;
+    return items->at++;
+}
+
+static uint64_t
+next_uint(struct sl_items *items)
+{
+    const msgpack_object *item =
+        next_item(items, MSGPACK_OBJECT_POSITIVE_INTEGER);
+    return item == NULL ? 0 : item->via.u64;
+}
+
+static uint32_t
+next_uint32(struct sl_items *items)
+{
+    uint64_t value = next_uint(items);
+    if (value > UINT32_MAX) {
+        items->ok = false;
+    }
+    return (uint32_t)value;
+}
+
+static struct sl_name
+next_name(struct sl_items *items)
+{
+    struct sl_name name = {0};
+    const msgpack_object *item = next_item(items, MSGPACK_OBJECT_STR);
+    if (item == NULL ||
+        !SlName_Set(&name,
+                    (struct sl_str){item->via.str.ptr, item->via.str.size})) {
+        items->ok = false;
+    }
+    return name;
+}
+
+/* Opens a nested array of at most `max` items. */
+static struct sl_items
+next_array(struct sl_items *items, size_t max)
+{
+    struct sl_items nested = {NULL, 0, false};
+    const msgpack_object *item = next_item(items, MSGPACK_OBJECT_ARRAY);
+    if (item == NULL || item->via.array.size > max) {
+        items->ok = false;
+        return nested;
+    }
+    nested.at = item->via.array.ptr;
+    nested.left = item->via.array.size;
+    nested.ok = true;
+    return nested;
+}
+
+static bool
+decode_load(struct sl_items fields, struct sl_gossip_load *load)
+{
+    load->upstream = next_uint32(&fields);
+    load->in_flight = next_uint32(&fields);
+    load->backlog_ms = next_uint32(&fields);
+    return fields.ok;
+}
+
+static bool
+decode_tally(struct sl_items fields, struct sl_gossip_tally *tally)
+{
+    tally->route = next_uint32(&fields);
+    tally->target_answers = next_uint32(&fields);
+    tally->target_bad = next_uint32(&fields);
+    tally->base_answers = next_uint32(&fields);
+    tally->base_bad = next_uint32(&fields);
+    return fields.ok;
+}
+
+static bool
+decode_rollout(struct sl_items fields, struct sl_gossip_rollout *rollout)
+{
+    rollout->order = next_uint(&fields);
+    rollout->elapsed_ms = next_uint32(&fields);
+    rollout->base_in_flight = next_uint32(&fields);
+    struct sl_items tallies = next_array(&fields, Sl_GOSSIP_MAX_TALLIES);
+    while (tallies.ok && tallies.left > 0) {
+        if (!decode_tally(next_array(&tallies, Sl_TALLY_FIELDS),
+                          &rollout->tallies[rollout->tally_count])) {
+            return false;
+        }
+        rollout->tally_count++;
+    }
+    struct sl_items sessions = next_array(&fields, Sl_GOSSIP_MAX_SESSIONS);
+    while (sessions.ok && sessions.left > 0) {
+        rollout->sessions[rollout->session_count++] = next_uint32(&sessions);
+    }
+    return fields.ok && tallies.ok && sessions.ok;
+}
+
+static bool
+decode_digest(struct sl_items fields, struct sl_gossip *digest)
+{
+    if (next_uint(&fields) != Sl_GOSSIP_VERSION) {
+        return false;
+    }
+    digest->vm = next_name(&fields);
+    digest->domain = next_name(&fields);
+    digest->address = next_name(&fields);
+    digest->boot = next_uint(&fields);
+    uint64_t sequence = next_uint(&fields);
+    digest->sequence = sequence >> 1;
+    digest->leaving = (sequence & 1) != 0;
+    struct sl_items offsets = next_array(&fields, Sl_GOSSIP_FEEDS);
+    for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+        digest->offsets[i] = next_uint(&offsets);
+    }
+    struct sl_items loads = next_array(&fields, Sl_GOSSIP_MAX_LOADS);
+    while (loads.ok && loads.left > 0) {
+        if (!decode_load(next_array(&loads, Sl_LOAD_FIELDS),
+                         &digest->loads[digest->load_count])) {
+            return false;
+        }
+        digest->load_count++;
+    }
+    struct sl_items rollouts = next_array(&fields, Sl_GOSSIP_MAX_ROLLOUTS);
+    while (rollouts.ok && rollouts.left > 0) {
+        if (!decode_rollout(next_array(&rollouts, Sl_ROLLOUT_FIELDS),
+                            &digest->rollouts[digest->rollout_count])) {
+            return false;
+        }
+        digest->rollout_count++;
+    }
+    return fields.ok && offsets.ok && loads.ok && rollouts.ok &&
+           !SlName_IsEmpty(&digest->vm) && digest->boot != 0;
+}
+
+enum sl_errno
+SlGossip_Decode(struct sl_str bytes, struct sl_gossip *digest,
+                struct sl_error *err)
+{
+    msgpack_unpacked unpacked;
+    enum sl_errno code = Sl_OK;
+    size_t at = 0;
+    memset(digest, 0, sizeof(*digest));
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, bytes.ptr, bytes.len, &at) !=
+            MSGPACK_UNPACK_SUCCESS ||
+        at != bytes.len || unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
+        code = SlError_Set(err, Sl_ERR_INVALID, step, "",
+                           "%zu bytes are not one array", bytes.len);
+    }
+    else {
+        struct sl_items fields = {unpacked.data.via.array.ptr,
+                                  unpacked.data.via.array.size, true};
+        if (!decode_digest(fields, digest)) {
+            code = SlError_Set(err, Sl_ERR_INVALID, step, "",
+                               "a field is missing, of another type or out "
+                               "of bounds");
+        }
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return code;
+}
--- /dev/null
+++ b/lib/gossip/sl_gossip.h
@@ -0,0 +1,80 @@
+/*
+ * sl_gossip: what routers tell each other, in datagrams of msgpack.
+ *
+ * A datagram says what holds now, never what has changed: a lost one is made
+ * good by the next, and an old one is told by its sequence number. Nothing
+ * that must be exact goes this way; what it carries makes choices better and
+ * splits the fleet's allowances.
+ *
+ * Sections:
+ *   1. Digest   what a datagram says
+ *   2. Codec    to bytes and back
+ */
+#ifndef Sl_GOSSIP_H
+#define Sl_GOSSIP_H
+
+#include "sl_common.h"
+
+#define Sl_GOSSIP_VERSION 1
+/* Below the payload of one Ethernet frame, so that none is fragmented. */
+#define Sl_GOSSIP_MAX_BYTES 1400
+
+/* ---- 1. Digest -------------------------------------------------------- */
+
+#define Sl_GOSSIP_MAX_LOADS 48
+#define Sl_GOSSIP_MAX_TALLIES 8
+#define Sl_GOSSIP_MAX_ROLLOUTS 4
+#define Sl_GOSSIP_MAX_SESSIONS 32
+#define Sl_GOSSIP_FEEDS 3
+
+/* The sender's own work at one upstream. */
+struct sl_gossip_load {
+    uint32_t upstream; /* hash of its id */
+    uint32_t in_flight;
+    uint32_t backlog_ms; /* of prompts that are not read yet */
+};
+
+/* Recent answers on one route, which fade with time; in tenths. */
+struct sl_gossip_tally {
+    uint32_t route; /* hash of its name */
+    uint32_t target_answers;
+    uint32_t target_bad;
+    uint32_t base_answers;
+    uint32_t base_bad;
+};
+
+/* How the sender sees one roll-out. */
+struct sl_gossip_rollout {
+    uint64_t order;          /* offset of the order */
+    uint32_t elapsed_ms;     /* since it was first seen by anybody */
+    uint32_t base_in_flight; /* own requests at versions to be left */
+    size_t tally_count;
+    struct sl_gossip_tally tallies[Sl_GOSSIP_MAX_TALLIES];
+    /* Sessions that were at a version to be left since the last digest. */
+    size_t session_count;
+    uint32_t sessions[Sl_GOSSIP_MAX_SESSIONS];
+};
+
+struct sl_gossip {
+    struct sl_name vm;
+    struct sl_name domain;
+    struct sl_name address; /* "IP:PORT" for datagrams */
+    uint64_t boot;
+    uint64_t sequence; /* grows by one with each datagram of this boot */
+    bool leaving;
+    uint64_t offsets[Sl_GOSSIP_FEEDS]; /* next record of each feed */
+    size_t load_count;
+    struct sl_gossip_load loads[Sl_GOSSIP_MAX_LOADS];
+    size_t rollout_count;
+    struct sl_gossip_rollout rollouts[Sl_GOSSIP_MAX_ROLLOUTS];
+};
+
+/* ---- 2. Codec --------------------------------------------------------- */
+
+/* Appends the digest's bytes. Loads, and then sessions, that do not fit into
+ * Sl_GOSSIP_MAX_BYTES are left out. */
+void SlGossip_Encode(const struct sl_gossip *digest, struct sl_buf *out);
+enum sl_errno SlGossip_Decode(struct sl_str bytes, struct sl_gossip *digest,
+                              struct sl_error *err);
+
+#endif
--- a/lib/router/sl_exchange.c
+++ b/lib/router/sl_answers.c
@@ -1,106 +1,12 @@
-/* One call of a flight, and what its answer means. */
+/* What upstreams answer, and what follows from it for the caller. */
 #include "sl_router_internal.h"
 
-/* A connection that is not made by then is not made at all: a handshake takes
- * a few milliseconds, a lost opening packet is sent again after a second. */
-#define Sl_CONNECT_TIMEOUT_US (400 * Sl_US_PER_MS)
 /* Whole answers are kept until they have ended; larger ones are an error. */
 #define Sl_MAX_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
-
 /* Answers of smaller models are passed on from this confidence on; chosen by
  * the table in docs/design/cascade-by-confidence.md. */
 #define Sl_ACCEPT_CONFIDENCE 65
 
-/* ---- calls ---- */
-
-static struct sl_str
-model_of(const struct sl_flight *flight)
-{
-    if (SlStr_Equal(flight->ask.model, Sl_STR("*")) &&
-        flight->route->model_count > 0) {
-        return SlName_Str(&flight->route->models[flight->model]);
-    }
-    return flight->ask.model;
-}
-
-void
-SlExchange_Send(struct sl_router *router, struct sl_flight *flight,
-                struct sl_upstream *upstream)
-{
-    struct sl_exchange *exchange = &flight->exchange;
-    assert(exchange->token == 0);
-    exchange->token = ++router->last_token;
-    exchange->upstream = upstream;
-    exchange->sent_us = router->now_us;
-    exchange->last_bytes_us = router->now_us;
-    exchange->has_head = false;
-    SlBuf_Clear(&exchange->headers);
-    SlBuf_Clear(&exchange->body);
-    SlEvents_Clear(&exchange->events);
-    exchange->events_taken = 0;
-    flight->tries++;
-    if (flight->tried_count < Sl_MAX_TRIED) {
-        flight->tried[flight->tried_count++] = upstream->reg.id;
-    }
-    if (flight->state == Sl_FLIGHT_WAITING) {
-        flight->state = Sl_FLIGHT_CALLING;
-    }
-    g_hash_table_insert(router->by_token, &exchange->token, flight);
-    SlUpstreams_OnSent(router, upstream, flight);
-
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_CALL);
-    struct sl_fx_upstream_call *call = &effect->u.call;
-    call->token = exchange->token;
-    call->upstream = upstream->reg.id;
-    call->address = upstream->reg.address;
-    call->request_id = flight->ask.id;
-    call->method = flight->ask.method;
-    call->target = flight->ask.target;
-    call->headers = flight->ask.headers;
-    call->body = flight->ask.body;
-    call->model = model_of(flight);
-    call->team = flight->team != NULL ? flight->team->name : SlName_Of("");
-    call->deadline_us = flight->deadline_us - router->now_us;
-    call->last_event = flight->last_event;
-    call->priority = flight->service->is_engine ? flight->priority : -1;
-    call->fresh_connection = true;
-    call->connect_timeout_us = Sl_CONNECT_TIMEOUT_US;
-    SlLine_Begin(router, "sent");
-    SlLine_Str(router, "request", flight->ask.id);
-    SlLine_Name(router, "upstream", &upstream->reg.id);
-    SlLine_Int(router, "try", flight->tries);
-    SlLine_Int(router, "runs_before", flight->runs);
-    SlLine_Int(router, "load", SlUpstreams_Load(upstream));
-    SlLine_Int(router, "load_age_ms",
-               upstream->told_us == 0
-                   ? -1
-                   : (router->now_us - upstream->told_us) / Sl_US_PER_MS);
-    SlLine_Str(router, "model", call->model);
-    SlLine_Int(router, "waited_ms",
-               (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
-    SlLine_End(router, Sl_LOG_INFO);
-}
-
-/* The call has ended, or is not wanted any more. */
-static void
-detach(struct sl_router *router, struct sl_flight *flight)
-{
-    struct sl_exchange *exchange = &flight->exchange;
-    g_hash_table_remove(router->by_token, &exchange->token);
-    exchange->token = 0;
-    SlUpstreams_OnEnded(router, exchange->upstream);
-    exchange->upstream = NULL;
-}
-
-void
-SlExchange_Cancel(struct sl_router *router, struct sl_flight *flight)
-{
-    if (flight->exchange.token != 0) {
-        SlOutbox_Add(router, Sl_RFX_CANCEL)->u.token = flight->exchange.token;
-        detach(router, flight);
-    }
-}
-
 static struct sl_flight *
 flight_of(const struct sl_router *router, uint64_t token)
 {
@@ -144,6 +50,34 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+/* An answer that took several times as long as guessed counts as bad for its
+ * version; short ones vary by more. */
+#define Sl_SLOW_FACTOR 3
+#define Sl_SLOW_EXTRA_US (50 * Sl_US_PER_MS)
+
+/* What the answer's head says of models and versions. */
+static void
+learn(struct sl_router *router, const struct sl_flight *flight)
+{
+    const struct sl_exchange *exchange = &flight->exchange;
+    int64_t took_us = router->now_us - exchange->sent_us;
+    if (exchange->head.not_executed || exchange->head.wrong_instance ||
+        !exchange->head.is_stamped) {
+        return;
+    }
+    bool failed = exchange->head.status >= 500;
+    bool slow =
+        flight->service->is_engine &&
+        took_us > Sl_SLOW_FACTOR * exchange->expected_us + Sl_SLOW_EXTRA_US &&
+        exchange->was_idle;
+    SlRollouts_OnAnswer(router, flight, failed || slow);
+    if (flight->service->is_engine && exchange->was_idle && !failed) {
+        struct sl_name model = {0};
+        (void)SlName_Set(&model, SlFlight_Model(flight));
+        SlPace_Learn(router, &model, exchange->uncached, took_us);
+    }
+}
+
 /* Is the answer of a small model too doubtful to be passed on? */
 static bool
 wants_larger_model(const struct sl_flight *flight)
@@ -157,8 +91,8 @@
 }
 
 void
-SlExchange_OnHead(struct sl_router *router, uint64_t token,
-                  const struct sl_answer_head *head)
+SlAnswers_OnHead(struct sl_router *router, uint64_t token,
+                 const struct sl_answer_head *head)
 {
     struct sl_flight *flight = flight_of(router, token);
     if (flight == NULL) {
@@ -172,9 +106,11 @@
     SlBuf_Append(&exchange->headers, head->headers);
     exchange->head.headers = SlBuf_Str(&exchange->headers);
     SlUpstreams_OnLoad(router, exchange->upstream, head);
+    SlUpstreams_OnRead(router, exchange->upstream, exchange);
     log_head(router, flight);
+    learn(router, flight);
     if (wants_larger_model(flight)) {
-        SlExchange_Cancel(router, flight);
+        SlCalls_Cancel(router, flight);
         flight->runs++;
         flight->model = flight->route->model_count - 1;
         SlWaiting_Add(router, flight);
@@ -212,8 +148,8 @@
 }
 
 void
-SlExchange_OnPiece(struct sl_router *router, uint64_t token,
-                   struct sl_str bytes)
+SlAnswers_OnPiece(struct sl_router *router, uint64_t token,
+                  struct sl_str bytes)
 {
     struct sl_flight *flight = flight_of(router, token);
     if (flight == NULL) {
@@ -282,7 +218,7 @@
     struct sl_upstream *upstream = flight->exchange.upstream;
     log_end(router, flight, upstream, err);
     SlUpstreams_OnFailure(router, upstream);
-    detach(router, flight);
+    SlCalls_Detach(router, flight);
     SlFlight_Again(router, flight, connected, "upstream.call",
                    connected ? "the upstream broke off"
                              : "the upstream cannot be reached");
@@ -295,14 +231,14 @@
     struct sl_upstream *upstream = flight->exchange.upstream;
     SlUpstreams_OnRefused(router, upstream,
                           flight->exchange.head.retry_after_us);
-    detach(router, flight);
+    SlCalls_Detach(router, flight);
     SlFlight_Again(router, flight, false, "upstream.call",
                    "the upstreams are full");
 }
 
 void
-SlExchange_OnDone(struct sl_router *router, uint64_t token,
-                  const struct sl_error *err, bool connected)
+SlAnswers_OnDone(struct sl_router *router, uint64_t token,
+                 const struct sl_error *err, bool connected)
 {
     struct sl_flight *flight = flight_of(router, token);
     if (flight == NULL) {
@@ -320,14 +256,14 @@
     if (is_success(head) || (!is_garbled(head) && head->status < 500 &&
                              flight->state != Sl_FLIGHT_PASSING)) {
         SlUpstreams_OnGood(router, flight->exchange.upstream);
-        detach(router, flight);
+        SlCalls_Detach(router, flight);
         finish(router, flight);
         return;
     }
     /* A failure of the upstream's own: it ran. */
     bool can_repeat =
         flight->may_repeat && flight->runs + 1 < flight->route->max_attempts;
-    detach(router, flight);
+    SlCalls_Detach(router, flight);
     if (can_repeat || is_garbled(head) || flight->state == Sl_FLIGHT_PASSING) {
         SlFlight_Again(router, flight, true, "upstream.call",
                        "the upstream failed");
--- /dev/null
+++ b/lib/router/sl_calls.c
@@ -0,0 +1,93 @@
+/* Calls of flights to upstreams: sending, ending, giving up. */
+#include "sl_router_internal.h"
+
+/* A connection that is not made by then is not made at all: a handshake takes
+ * a few milliseconds, a lost opening packet is sent again after a second. */
+#define Sl_CONNECT_TIMEOUT_US (400 * Sl_US_PER_MS)
+/* Whole answers are kept until they have ended; larger ones are an error. */
+#define Sl_MAX_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
+
+/* Answers of smaller models are passed on from this confidence on; chosen by
+ * the table in docs/design/cascade-by-confidence.md. */
+#define Sl_ACCEPT_CONFIDENCE 65
+
+/* ---- calls ---- */
+
+void
+SlCalls_Send(struct sl_router *router, struct sl_flight *flight,
+             struct sl_upstream *upstream)
+{
+    struct sl_exchange *exchange = &flight->exchange;
+    assert(exchange->token == 0);
+    exchange->token = ++router->last_token;
+    exchange->upstream = upstream;
+    exchange->sent_us = router->now_us;
+    exchange->last_bytes_us = router->now_us;
+    exchange->has_head = false;
+    SlBuf_Clear(&exchange->headers);
+    SlBuf_Clear(&exchange->body);
+    SlEvents_Clear(&exchange->events);
+    exchange->events_taken = 0;
+    flight->tries++;
+    if (flight->tried_count < Sl_MAX_TRIED) {
+        flight->tried[flight->tried_count++] = upstream->reg.id;
+    }
+    if (flight->state == Sl_FLIGHT_WAITING) {
+        flight->state = Sl_FLIGHT_CALLING;
+    }
+    g_hash_table_insert(router->by_token, &exchange->token, flight);
+    SlRollouts_OnSent(router, flight, upstream);
+    SlUpstreams_OnSent(router, upstream, flight);
+
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_CALL);
+    struct sl_fx_upstream_call *call = &effect->u.call;
+    call->token = exchange->token;
+    call->upstream = upstream->reg.id;
+    call->address = upstream->reg.address;
+    call->request_id = flight->ask.id;
+    call->method = flight->ask.method;
+    call->target = flight->ask.target;
+    call->headers = flight->ask.headers;
+    call->body = flight->ask.body;
+    call->model = SlFlight_Model(flight);
+    call->team = flight->team != NULL ? flight->team->name : SlName_Of("");
+    call->deadline_us = flight->deadline_us - router->now_us;
+    call->last_event = flight->last_event;
+    call->priority = flight->service->is_engine ? flight->priority : -1;
+    call->fresh_connection = true;
+    call->connect_timeout_us = Sl_CONNECT_TIMEOUT_US;
+    SlLine_Begin(router, "sent");
+    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_Name(router, "upstream", &upstream->reg.id);
+    SlLine_Int(router, "try", flight->tries);
+    SlLine_Int(router, "runs_before", flight->runs);
+    SlLine_Int(router, "load", SlUpstreams_Load(upstream));
+    SlLine_Int(router, "load_age_ms",
+               upstream->told_us == 0
+                   ? -1
+                   : (router->now_us - upstream->told_us) / Sl_US_PER_MS);
+    SlLine_Str(router, "model", call->model);
+    SlLine_Int(router, "waited_ms",
+               (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
+void
+SlCalls_Detach(struct sl_router *router, struct sl_flight *flight)
+{
+    struct sl_exchange *exchange = &flight->exchange;
+    g_hash_table_remove(router->by_token, &exchange->token);
+    exchange->token = 0;
+    SlRollouts_OnEnded(router, flight);
+    SlUpstreams_OnEnded(router, exchange->upstream, exchange);
+    exchange->upstream = NULL;
+}
+
+void
+SlCalls_Cancel(struct sl_router *router, struct sl_flight *flight)
+{
+    if (flight->exchange.token != 0) {
+        SlOutbox_Add(router, Sl_RFX_CANCEL)->u.token = flight->exchange.token;
+        SlCalls_Detach(router, flight);
+    }
+}
--- /dev/null
+++ b/lib/router/sl_digests.c
@@ -0,0 +1,195 @@
+/*
+ * Telling the other routers what holds here, and hearing from them: those of
+ * the own failure domain soon after the load has changed, all of them at a
+ * slow beat. A new router announces itself by its first digest.
+ */
+#include "sl_router_internal.h"
+
+/* Own load changes are collected for so long before the peers of the failure
+ * domain are told; the processor time of a digest bounds it from below. */
+#define Sl_SOON_US (25 * Sl_US_PER_MS)
+/* A silent peer is told only so often. */
+#define Sl_SILENT_BEAT_US (5 * Sl_US_PER_S)
+/* Member records are read again this often: routers that started without
+ * hearing of each other meet through them. */
+#define Sl_MEMBERS_AGAIN_US (15 * Sl_US_PER_S)
+
+/* ---- digests ---- */
+
+static void
+fill_loads(const struct sl_router *router, struct sl_gossip *digest)
+{
+    GHashTableIter iter;
+    gpointer value;
+    digest->load_count = 0;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           digest->load_count < Sl_GOSSIP_MAX_LOADS) {
+        const struct sl_upstream *upstream = value;
+        if (upstream->in_flight == 0) {
+            continue;
+        }
+        struct sl_gossip_load *load = &digest->loads[digest->load_count++];
+        load->upstream = upstream->key;
+        load->in_flight = (uint32_t)upstream->in_flight;
+        load->backlog_ms =
+            (uint32_t)(SlUpstreams_OwnUnread(router, upstream) / Sl_US_PER_MS);
+    }
+}
+
+static void
+fill_digest(struct sl_router *router, struct sl_gossip *digest)
+{
+    digest->vm = router->options.vm;
+    digest->domain = router->options.domain;
+    digest->address = router->options.peer_address;
+    digest->boot = router->options.boot;
+    digest->sequence++;
+    digest->leaving = router->draining;
+    for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+        digest->offsets[i] = router->feeds[i].next;
+    }
+    fill_loads(router, digest);
+    digest->rollout_count = 0;
+    SlRollouts_Tell(router, digest);
+}
+
+static bool
+is_due(const struct sl_router *router, const struct sl_router_peer *peer,
+       bool only_domain)
+{
+    if (peer->digest.leaving && !router->draining) {
+        return false;
+    }
+    if (only_domain) {
+        return SlPeers_IsLive(router, peer) &&
+               SlName_Equal(&peer->digest.domain, &router->options.domain);
+    }
+    return SlPeers_IsLive(router, peer) ||
+           router->now_us - peer->sent_us >= Sl_SILENT_BEAT_US;
+}
+
+static void
+tell_peers(struct sl_router *router, bool only_domain)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_ptr_array_set_size(router->addresses, 0);
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_router_peer *peer = value;
+        if (is_due(router, peer, only_domain)) {
+            g_ptr_array_add(router->addresses, &peer->address);
+            peer->sent_us = router->now_us;
+        }
+    }
+    if (router->addresses->len == 0) {
+        return;
+    }
+    fill_digest(router, &router->digest);
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_GOSSIP);
+    effect->u.gossip.digest = &router->digest;
+    effect->u.gossip.count = router->addresses->len;
+    effect->u.gossip.addresses =
+        (const struct sl_name *const *)router->addresses->pdata;
+}
+
+static void
+on_beat(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    SlPeers_Forget(router);
+    tell_peers(router, false);
+    SlRollouts_Told(router);
+    SlTimers_Subscribe(router->timers, router->now_us + SlPeers_BeatUs(router),
+                       on_beat, router, 0);
+}
+
+static void
+on_soon(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    router->gossip_timer = 0;
+    tell_peers(router, true);
+}
+
+void
+SlDigests_Soon(struct sl_router *router)
+{
+    if (router->gossip_timer == 0) {
+        router->gossip_timer = SlTimers_Subscribe(
+            router->timers, router->now_us + Sl_SOON_US, on_soon, router, 0);
+    }
+}
+
+void
+SlDigests_Leave(struct sl_router *router)
+{
+    tell_peers(router, false);
+}
+
+void
+SlDigests_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
+{
+    if (!SlPeers_Take(router, digest)) {
+        return;
+    }
+    for (size_t i = 0; i < digest->rollout_count; i++) {
+        SlRollouts_OnGossip(router, &digest->rollouts[i]);
+    }
+}
+
+/* ---- members ---- */
+
+static void
+read_members(struct sl_router *router)
+{
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_READ_NEWEST);
+    effect->u.read.feed = Sl_FEED_MEMBERS;
+}
+
+static void
+on_members_again(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    read_members(router);
+    SlTimers_Subscribe(router->timers, router->now_us + Sl_MEMBERS_AGAIN_US,
+                       on_members_again, router, 0);
+}
+
+void
+SlDigests_Start(struct sl_router *router)
+{
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_APPEND);
+    struct sl_record *record = &effect->u.append.record;
+    effect->u.append.feed = Sl_FEED_MEMBERS;
+    effect->u.append.token = router->member_token = ++router->last_token;
+    effect->u.append.conditional = false;
+    record->type = Sl_RECORD_MEMBER;
+    record->u.member.vm = router->options.vm;
+    record->u.member.domain = router->options.domain;
+    record->u.member.address = router->options.peer_address;
+    SlTimers_Subscribe(router->timers, router->now_us + SlPeers_BeatUs(router),
+                       on_beat, router, 0);
+    SlTimers_Subscribe(router->timers, router->now_us + Sl_MEMBERS_AGAIN_US,
+                       on_members_again, router, 0);
+}
+
+void
+SlDigests_OnRegistered(struct sl_router *router, const struct sl_error *err)
+{
+    if (err != NULL) {
+        SlLine_Begin(router, "register_failed");
+        SlLine_Error(router, err);
+        SlLine_End(router, Sl_LOG_WARN);
+    }
+    /* After the own record is there: of two routers that start at once, at
+     * least one then finds the other. */
+    read_members(router);
+}
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -22,7 +22,7 @@
 } rules[Sl_FEED_COUNT] = {
     [Sl_FEED_OPERATORS] = {"operators", 150 * Sl_US_PER_MS, true},
     [Sl_FEED_UPSTREAMS] = {"upstreams", 700 * Sl_US_PER_MS, true},
-    [Sl_FEED_STATUS] = {"status", 300 * Sl_US_PER_MS, false},
+    [Sl_FEED_STATUS] = {"status", 150 * Sl_US_PER_MS, true},
     [Sl_FEED_MEMBERS] = {"members", Sl_US_PER_S, false},
 };
 
@@ -163,8 +163,16 @@
         take_upstream(router, record);
         break;
     case Sl_RECORD_ROLLOUT:
+        SlRollouts_OnOrder(router, record);
+        break;
     case Sl_RECORD_STATUS:
+        SlRollouts_OnStatus(router, record);
+        break;
     case Sl_RECORD_MEMBER:
+        if (!record->dropped) {
+            SlPeers_OnMember(router, &record->u.member);
+        }
+        break;
     case Sl_RECORD_OTHER:
     default:
         break;
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -48,7 +48,7 @@
               const char *step, const char *reason, bool ran,
               int64_t retry_after_us)
 {
-    SlExchange_Cancel(router, flight);
+    SlCalls_Cancel(router, flight);
     log_answer(router, flight->ask.id, status, step, reason, ran,
                router->now_us - flight->arrived_us);
     if (flight->state == Sl_FLIGHT_PASSING) {
@@ -66,7 +66,7 @@
 void
 SlFlight_End(struct sl_router *router, struct sl_flight *flight)
 {
-    SlExchange_Cancel(router, flight);
+    SlCalls_Cancel(router, flight);
     SlWaiting_Remove(router, flight);
     SlTimers_Cancel(router->timers, flight->timer);
     g_hash_table_steal(router->flights, &flight->conn);
@@ -165,6 +165,15 @@
     return SlStr_Equal(ask->model, Sl_STR("*"));
 }
 
+struct sl_str
+SlFlight_Model(const struct sl_flight *flight)
+{
+    if (wants_any_model(&flight->ask) && flight->route->model_count > 0) {
+        return SlName_Str(&flight->route->models[flight->model]);
+    }
+    return flight->ask.model;
+}
+
 static bool
 model_is_known(const struct sl_ask *ask, const struct sl_route *route)
 {
--- /dev/null
+++ b/lib/router/sl_pace.c
@@ -0,0 +1,51 @@
+/* How fast models read prompts, learned from answers that found an idle
+ * upstream. Answers placement's question of when a first event may come. */
+#include "sl_router_internal.h"
+
+/* Until a model has been seen: a small one on a fast accelerator. */
+#define Sl_FIRST_BASE_US (30.0 * (double)Sl_US_PER_MS)
+#define Sl_FIRST_US_PER_TOKEN 20.0
+/* Weight of one new observation. */
+#define Sl_PACE_WEIGHT 0.1
+/* Prompts shorter than this tell the base time, longer ones the rate. */
+#define Sl_SHORT_PROMPT_TOKENS 200
+#define Sl_LONG_PROMPT_TOKENS 1000
+
+static struct sl_pace
+pace_of(const struct sl_router *router, const struct sl_name *model)
+{
+    const struct sl_pace *pace = g_hash_table_lookup(router->paces, model);
+    struct sl_pace first = {Sl_FIRST_BASE_US, Sl_FIRST_US_PER_TOKEN};
+    return pace != NULL ? *pace : first;
+}
+
+int64_t
+SlPace_Expect(const struct sl_router *router, const struct sl_name *model,
+              int64_t uncached)
+{
+    struct sl_pace pace = pace_of(router, model);
+    return (int64_t)(pace.base_us + pace.us_per_token * (double)uncached);
+}
+
+void
+SlPace_Learn(struct sl_router *router, const struct sl_name *model,
+             int64_t uncached, int64_t took_us)
+{
+    struct sl_pace *pace = g_hash_table_lookup(router->paces, model);
+    if (pace == NULL) {
+        struct sl_name *key = g_memdup2(model, sizeof(*model));
+        pace = g_new0(struct sl_pace, 1);
+        pace->base_us = Sl_FIRST_BASE_US;
+        pace->us_per_token = Sl_FIRST_US_PER_TOKEN;
+        g_hash_table_insert(router->paces, key, pace);
+    }
+    if (uncached < Sl_SHORT_PROMPT_TOKENS) {
+        double rest = (double)took_us - pace->us_per_token * (double)uncached;
+        pace->base_us += Sl_PACE_WEIGHT * (MAX(rest, 0) - pace->base_us);
+    }
+    else if (uncached > Sl_LONG_PROMPT_TOKENS) {
+        double rate =
+            MAX((double)took_us - pace->base_us, 0) / (double)uncached;
+        pace->us_per_token += Sl_PACE_WEIGHT * (rate - pace->us_per_token);
+    }
+}
--- /dev/null
+++ b/lib/router/sl_peers.c
@@ -0,0 +1,168 @@
+/*
+ * The other routers: who lives, and what they have under way. A router finds
+ * the others in the store's member records and by their own digests.
+ */
+#include "sl_router_internal.h"
+
+/* Beat of digests to all peers. */
+#define Sl_BEAT_US (500 * Sl_US_PER_MS)
+/* A fleet of more than this many routers beats slower in proportion, so that
+ * a router's digests stay bounded. */
+#define Sl_FULL_BEAT_PEERS 32
+/* Beats without a digest after which a peer is taken for dead. */
+#define Sl_SILENT_BEATS 5
+#define Sl_FORGET_US (60 * Sl_US_PER_S)
+
+/* ---- who lives ---- */
+
+int64_t
+SlPeers_BeatUs(const struct sl_router *router)
+{
+    int64_t peers = (int64_t)g_hash_table_size(router->peers);
+    return Sl_BEAT_US * MAX(peers, Sl_FULL_BEAT_PEERS) / Sl_FULL_BEAT_PEERS;
+}
+
+bool
+SlPeers_IsLive(const struct sl_router *router,
+               const struct sl_router_peer *peer)
+{
+    return !peer->digest.leaving &&
+           router->now_us - peer->heard_us <
+               Sl_SILENT_BEATS * SlPeers_BeatUs(router);
+}
+
+size_t
+SlPeers_FleetSize(const struct sl_router *router)
+{
+    size_t live = 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        live += SlPeers_IsLive(router, value) ? 1 : 0;
+    }
+    return live;
+}
+
+size_t
+SlPeers_Rank(const struct sl_router *router, struct sl_str key)
+{
+    uint64_t own = SlHash_Rendezvous(key, SlName_Str(&router->options.vm));
+    size_t rank = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        if (SlPeers_IsLive(router, peer) &&
+            SlHash_Rendezvous(key, SlName_Str(&peer->vm)) > own) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+static struct sl_router_peer *
+find_or_add(struct sl_router *router, const struct sl_name *vm,
+            const struct sl_name *address)
+{
+    struct sl_router_peer *peer = g_hash_table_lookup(router->peers, vm);
+    if (peer == NULL) {
+        peer = g_new0(struct sl_router_peer, 1);
+        peer->vm = *vm;
+        peer->heard_us = router->now_us;
+        g_hash_table_insert(router->peers, &peer->vm, peer);
+        SlLine_Begin(router, "peer_known");
+        SlLine_Name(router, "peer", vm);
+        SlLine_Name(router, "address", address);
+        SlLine_End(router, Sl_LOG_INFO);
+    }
+    peer->address = *address;
+    return peer;
+}
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+    const struct sl_router *router = data;
+    const struct sl_router_peer *peer = value;
+    (void)key;
+    return router->now_us - peer->heard_us > Sl_FORGET_US;
+}
+
+void
+SlPeers_Forget(struct sl_router *router)
+{
+    g_hash_table_foreach_remove(router->peers, is_forgotten, router);
+    router->peers_changed = true;
+}
+
+/* ---- news ---- */
+
+void
+SlPeers_OnMember(struct sl_router *router, const struct sl_member *member)
+{
+    if (!SlName_Equal(&member->vm, &router->options.vm)) {
+        (void)find_or_add(router, &member->vm, &member->address);
+    }
+}
+
+bool
+SlPeers_Take(struct sl_router *router, const struct sl_gossip *digest)
+{
+    if (SlName_Equal(&digest->vm, &router->options.vm)) {
+        return false;
+    }
+    struct sl_router_peer *peer =
+        find_or_add(router, &digest->vm, &digest->address);
+    bool was_live = SlPeers_IsLive(router, peer) && peer->digest.boot != 0;
+    if (peer->digest.boot == digest->boot &&
+        digest->sequence <= peer->digest.sequence) {
+        return false; /* late */
+    }
+    peer->digest = *digest;
+    peer->heard_us = router->now_us;
+    router->peers_changed = true;
+    if (!was_live || digest->leaving) {
+        SlLine_Begin(router, digest->leaving ? "peer_leaving" : "peer_up");
+        SlLine_Name(router, "peer", &digest->vm);
+        SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
+        SlLine_End(router, Sl_LOG_INFO);
+    }
+    return true;
+}
+
+void
+SlPeers_SumLoads(struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    if (!router->peers_changed) {
+        return;
+    }
+    router->peers_changed = false;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_upstream *upstream = value;
+        upstream->peers_in_flight = 0;
+        upstream->peers_unread_us = 0;
+    }
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        if (!SlPeers_IsLive(router, peer)) {
+            continue;
+        }
+        int64_t age_us = router->now_us - peer->heard_us;
+        for (size_t i = 0; i < peer->digest.load_count; i++) {
+            const struct sl_gossip_load *load = &peer->digest.loads[i];
+            struct sl_upstream *upstream = g_hash_table_lookup(
+                router->by_key, GUINT_TO_POINTER(load->upstream));
+            if (upstream != NULL) {
+                int64_t unread_us = load->backlog_ms * Sl_US_PER_MS - age_us;
+                upstream->peers_in_flight += load->in_flight;
+                upstream->peers_unread_us += MAX(unread_us, 0);
+            }
+        }
+    }
+}
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -1,18 +1,24 @@
 /* Which upstream a flight goes to. Answers loads that differ between
- * upstreams, prompts whose parts some upstreams hold already, and upstreams
- * that are cold or failing. */
+ * upstreams, long prompts that others would wait for, prompts whose parts
+ * some upstreams hold already, and upstreams that are cold or failing. */
 #include "sl_router_internal.h"
 
-/* Costs, in places of an upstream's slots: one unit is a full upstream. */
-#define Sl_COST_LOAD 1.0
-/* Reading a whole prompt again weighs as much as this share of the load. */
-#define Sl_COST_UNCACHED 0.25
-/* Bytes between failure domains are dear; load moves requests all the same. */
-#define Sl_COST_OTHER_DOMAIN 0.2
-/* Spreads parts that no upstream holds yet, the same way at each router. */
-#define Sl_COST_NOT_HOME 0.1
+/* Bytes between failure domains are dear: another domain must promise the
+ * first event sooner by this share of the route's latency objective. */
+#define Sl_OTHER_DOMAIN_SHARE 0.2
+/* A request among others is slowed: the time of a full upstream, beside that
+ * of an empty one. */
+#define Sl_FULL_LOAD_US (400 * Sl_US_PER_MS)
+/* Reading a part again costs more than its time: memory that others hold. */
+#define Sl_READ_AGAIN_US_PER_TOKEN 20
+/* Spreads sessions that no upstream holds yet, the same way at each router. */
+#define Sl_NOT_HOME_US (100 * Sl_US_PER_MS)
+/* An upstream that this request was at before is the last choice. */
+#define Sl_TRIED_US (60 * Sl_US_PER_S)
 /* Slots of an upstream that does not say. */
 #define Sl_DEFAULT_SLOTS 8
+/* Latency objective of a route that names none. */
+#define Sl_DEFAULT_TARGET_US Sl_US_PER_S
 
 static bool
 was_tried(const struct sl_flight *flight, const struct sl_name *id)
@@ -20,13 +26,27 @@
     return SlName_IsListed(flight->tried, flight->tried_count, id);
 }
 
+static bool
+keeps_rule(const struct sl_router *router, const struct sl_flight *flight,
+           const struct sl_upstream *upstream, enum sl_version_rule rule)
+{
+    if (rule == Sl_VERSION_ANY) {
+        return true;
+    }
+    const struct sl_name *target =
+        SlRollouts_Target(router, &flight->service->name);
+    bool is_target = SlName_Equal(&upstream->reg.version, target);
+    return is_target == (rule == Sl_VERSION_TARGET);
+}
+
 static bool
 serves(const struct sl_router *router, const struct sl_flight *flight,
-       const struct sl_upstream *upstream)
+       const struct sl_upstream *upstream, enum sl_version_rule rule)
 {
     return upstream->listed && !upstream->reg.draining &&
            SlName_Equal(&upstream->reg.service, &flight->service->name) &&
-           !SlUpstreams_IsEvacuated(router, &upstream->reg.domain);
+           !SlUpstreams_IsEvacuated(router, &upstream->reg.domain) &&
+           keeps_rule(router, flight, upstream, rule);
 }
 
 static int64_t
@@ -49,41 +69,36 @@
     return at;
 }
 
-/* The share of the prompt that the upstream would have to read. Parts count
- * only behind parts that it holds. */
-static double
-uncached_share(const struct sl_flight *flight,
-               const struct sl_upstream *upstream)
-{
-    int64_t held = 0;
-    if (flight->ask.prompt_tokens <= 0) {
-        return 0;
-    }
-    for (size_t i = 0; i < flight->ask.part_count; i++) {
-        uint64_t id = flight->ask.parts[i].id;
-        if (!g_hash_table_contains(upstream->parts, &id)) {
-            break;
-        }
-        held += flight->ask.parts[i].tokens;
-    }
-    return 1.0 - (double)MIN(held, flight->ask.prompt_tokens) /
-                     (double)flight->ask.prompt_tokens;
-}
-
-static double
+/* Guess of the time to the first event, with what else the choice costs
+ * expressed as time. */
+static int64_t
 cost_of(const struct sl_router *router, const struct sl_flight *flight,
         const struct sl_upstream *upstream)
 {
-    double cost = Sl_COST_LOAD * (double)SlUpstreams_Load(upstream) /
-                  (double)slots_of(upstream);
-    cost += Sl_COST_UNCACHED * uncached_share(flight, upstream);
+    const struct sl_route *route = flight->route;
+    int64_t target =
+        route->target_us > 0 ? route->target_us : Sl_DEFAULT_TARGET_US;
+    int64_t cost =
+        Sl_FULL_LOAD_US * SlUpstreams_Load(upstream) / slots_of(upstream);
+    if (flight->service->is_engine) {
+        struct sl_name model = {0};
+        int64_t uncached = SlUpstreams_Uncached(flight, upstream);
+        (void)SlName_Set(&model, SlFlight_Model(flight));
+        cost += SlUpstreams_Unread(router, upstream) +
+                SlPace_Expect(router, &model, uncached) +
+                Sl_READ_AGAIN_US_PER_TOKEN * uncached;
+    }
     if (!SlName_Equal(&upstream->reg.domain, &router->options.domain)) {
-        cost += Sl_COST_OTHER_DOMAIN;
+        cost += (int64_t)(Sl_OTHER_DOMAIN_SHARE * (double)target);
     }
     if (flight->session != 0) {
         uint64_t weight =
             SlHash_Bytes(flight->session, SlName_Str(&upstream->reg.id));
-        cost += Sl_COST_NOT_HOME * (double)(weight >> 11) * 0x1.0p-53;
+        cost += (int64_t)((double)Sl_NOT_HOME_US * (double)(weight >> 11) *
+                          0x1.0p-53);
+    }
+    if (was_tried(flight, &upstream->reg.id)) {
+        cost += Sl_TRIED_US;
     }
     return cost;
 }
@@ -93,24 +108,26 @@
                    int64_t *wait_us)
 {
     struct sl_upstream *best = NULL;
-    double best_cost = 0;
+    int64_t best_cost = 0;
     GHashTableIter iter;
     gpointer value;
+    enum sl_version_rule rule = SlRollouts_RuleFor(router, flight);
     *wait_us = Sl_NEVER_US;
+    SlPeers_SumLoads(router);
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_upstream *upstream = value;
-        if (!serves(router, flight, upstream)) {
+        if (!serves(router, flight, upstream, rule)) {
             continue;
         }
         int64_t at = free_at(router, upstream);
         if (at > router->now_us) {
-            *wait_us = MIN(*wait_us, at == Sl_NEVER_US ? Sl_NEVER_US
-                                                       : at - router->now_us);
+            if (at != Sl_NEVER_US) {
+                *wait_us = MIN(*wait_us, at - router->now_us);
+            }
             continue;
         }
-        double cost = cost_of(router, flight, upstream) +
-                      (was_tried(flight, &upstream->reg.id) ? 10.0 : 0.0);
+        int64_t cost = cost_of(router, flight, upstream);
         if (best == NULL || cost < best_cost) {
             best = upstream;
             best_cost = cost;
--- /dev/null
+++ b/lib/router/sl_rollouts.c
@@ -0,0 +1,776 @@
+/*
+ * Moving a service's traffic to a version, and back when it proves bad.
+ *
+ * The first half of the time that the order gives belongs to a small share of
+ * the sessions, chosen by hash, so that all routers choose alike; a session
+ * goes over only when it has been idle for as long as a session lasts. In the
+ * second half the share grows to the whole. The share never shrinks, except
+ * to nothing when the answers of the target are worse than those of the
+ * versions that it replaces; so no session goes back and forth.
+ *
+ * Every router judges by its own answers and those that its peers tell it.
+ * The answer to the order is one record in the store, written only if nobody
+ * has written since it was last read: whoever is first decides for all.
+ */
+#include "sl_router_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Share of the sessions in the first half, of what a bad version may get. */
+#define Sl_CANARY_OF_EXPOSURE 0.6
+/* Parts of the order's time: where the share begins to grow, and how long it
+ * grows. */
+#define Sl_RAMP_AT 0.5
+#define Sl_RAMP_FOR 0.12
+/* Routers learn of an order at times that differ by less than this. */
+#define Sl_SKEW_US (300 * Sl_US_PER_MS)
+/* With all traffic at the target, it is watched for so long at least. */
+#define Sl_SETTLE_US (1500 * Sl_US_PER_MS)
+/* Left of the order's time when it is completed at the latest. */
+#define Sl_RESERVE_US (1800 * Sl_US_PER_MS)
+/* Pause between the routers that may write the status, by rank. */
+#define Sl_RANK_US (300 * Sl_US_PER_MS)
+/* Pause before a write that failed is repeated. */
+#define Sl_APPEND_RETRY_US (400 * Sl_US_PER_MS)
+/* Half-life of answers as evidence. */
+#define Sl_FADE_US (4 * Sl_US_PER_S)
+/* A peer's evidence is used up to this age. */
+#define Sl_EVIDENCE_AGE_US (3 * Sl_US_PER_S)
+/* Bad answers of the target that are needed to judge it, and by how many
+ * standard errors its rate must exceed the others'. A false alarm costs one
+ * roll-out; a bad version that stays costs callers. */
+#define Sl_MIN_BAD 2.5
+#define Sl_SIGMAS 2.3
+/* Weight of the belief that an unseen version fails this often. */
+#define Sl_PRIOR_ANSWERS 4.0
+#define Sl_PRIOR_BAD 0.1
+#define Sl_CHECK_US (150 * Sl_US_PER_MS)
+/* Sessions that are remembered; the oldest go first. */
+#define Sl_MAX_SESSIONS 20000
+
+/* ---- state ---- */
+
+static struct sl_rollout *
+find(const struct sl_router *router, const struct sl_name *service)
+{
+    return g_hash_table_lookup(router->rollouts, service);
+}
+
+static bool
+is_over(const struct sl_rollout *rollout)
+{
+    return rollout->has_status && rollout->state != Sl_ROLLOUT_RUNNING;
+}
+
+void
+SlRollouts_Free(gpointer data)
+{
+    struct sl_rollout *rollout = data;
+    g_hash_table_destroy(rollout->at_base);
+    g_array_free(rollout->told, TRUE);
+    g_free(rollout);
+}
+
+const struct sl_name *
+SlRollouts_Target(const struct sl_router *router,
+                  const struct sl_name *service)
+{
+    const struct sl_rollout *rollout = find(router, service);
+    return rollout == NULL ? NULL : &rollout->order.version;
+}
+
+static int64_t
+elapsed_us(const struct sl_router *router, const struct sl_rollout *rollout)
+{
+    return router->now_us - rollout->began_us;
+}
+
+static void
+log_rollout(struct sl_router *router, const struct sl_rollout *rollout,
+            const char *event)
+{
+    SlLine_Begin(router, event);
+    SlLine_Name(router, "service", &rollout->order.service);
+    SlLine_Name(router, "target", &rollout->order.version);
+    SlLine_Int(router, "order", (int64_t)rollout->offset);
+    SlLine_Int(router, "elapsed_ms",
+               elapsed_us(router, rollout) / Sl_US_PER_MS);
+    SlLine_Int(router, "duration_ms",
+               rollout->order.duration_us / Sl_US_PER_MS);
+}
+
+/* ---- sessions ---- */
+
+static uint32_t
+session_key(const struct sl_flight *flight)
+{
+    return (uint32_t)flight->session;
+}
+
+static double
+bucket_of(const struct sl_rollout *rollout, uint32_t key)
+{
+    uint64_t hash = SlHash_Mix((uint64_t)key << 32 ^ rollout->offset);
+    return (double)(hash >> 11) * 0x1.0p-53;
+}
+
+static double
+canary_share(const struct sl_router *router)
+{
+    return Sl_CANARY_OF_EXPOSURE * router->options.bounds.exposure_share;
+}
+
+/* Share of the sessions that the target may have now. */
+static double
+share_of(const struct sl_router *router, const struct sl_rollout *rollout)
+{
+    double canary = canary_share(router);
+    if (rollout->suspect ||
+        elapsed_us(router, rollout) < router->options.bounds.session_us) {
+        return 0;
+    }
+    if (rollout->ramped_us == 0) {
+        return canary;
+    }
+    double grown = (double)(router->now_us - rollout->ramped_us) /
+                   (Sl_RAMP_FOR * (double)rollout->order.duration_us);
+    return CLAMP(grown, canary, 1.0);
+}
+
+static bool
+was_at_base(const struct sl_router *router, const struct sl_rollout *rollout,
+            uint32_t key)
+{
+    const int64_t *at =
+        g_hash_table_lookup(rollout->at_base, GUINT_TO_POINTER(key));
+    return at != NULL && router->now_us - *at <
+                             router->options.bounds.session_us + Sl_SKEW_US;
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer data)
+{
+    const struct sl_router *router = data;
+    (void)key;
+    return router->now_us - *(const int64_t *)value >
+           2 * router->options.bounds.session_us;
+}
+
+/* A session was at a version to be left; only those that the canary share
+ * could take matter. */
+static void
+note_at_base(struct sl_router *router, struct sl_rollout *rollout,
+             uint32_t key, bool tell)
+{
+    if (key == 0 || bucket_of(rollout, key) >= canary_share(router)) {
+        return;
+    }
+    if (g_hash_table_size(rollout->at_base) > Sl_MAX_SESSIONS) {
+        g_hash_table_foreach_remove(rollout->at_base, is_old, router);
+    }
+    int64_t *at = g_hash_table_lookup(rollout->at_base, GUINT_TO_POINTER(key));
+    if (at == NULL) {
+        at = g_new0(int64_t, 1);
+        g_hash_table_insert(rollout->at_base, GUINT_TO_POINTER(key), at);
+    }
+    *at = router->now_us;
+    if (tell && rollout->told->len < Sl_GOSSIP_MAX_SESSIONS) {
+        g_array_append_val(rollout->told, key);
+    }
+}
+
+static size_t
+ready_targets(const struct sl_router *router, const struct sl_rollout *rollout,
+              size_t *base)
+{
+    size_t targets = 0;
+    GHashTableIter iter;
+    gpointer value;
+    *base = 0;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_upstream *upstream = value;
+        if (!upstream->listed || upstream->reg.draining ||
+            !SlName_Equal(&upstream->reg.service, &rollout->order.service)) {
+            continue;
+        }
+        if (SlName_Equal(&upstream->reg.version, &rollout->order.version)) {
+            targets++;
+        }
+        else {
+            (*base)++;
+        }
+    }
+    return targets;
+}
+
+enum sl_version_rule
+SlRollouts_RuleFor(struct sl_router *router, const struct sl_flight *flight)
+{
+    const struct sl_rollout *rollout = find(router, &flight->service->name);
+    size_t base;
+    if (rollout == NULL) {
+        return Sl_VERSION_ANY;
+    }
+    if (rollout->suspect ||
+        (rollout->has_status && rollout->state == Sl_ROLLOUT_ROLLED_BACK)) {
+        return Sl_VERSION_BASE;
+    }
+    if (ready_targets(router, rollout, &base) == 0) {
+        return Sl_VERSION_ANY;
+    }
+    if (is_over(rollout)) {
+        return Sl_VERSION_TARGET;
+    }
+    uint32_t key = flight->session != 0
+                       ? session_key(flight)
+                       : (uint32_t)SlHash_Bytes(0, flight->ask.id);
+    if (bucket_of(rollout, key) >= share_of(router, rollout)) {
+        return Sl_VERSION_BASE;
+    }
+    if (rollout->ramped_us == 0 && flight->session != 0 &&
+        was_at_base(router, rollout, key)) {
+        return Sl_VERSION_BASE;
+    }
+    return Sl_VERSION_TARGET;
+}
+
+void
+SlRollouts_OnSent(struct sl_router *router, struct sl_flight *flight,
+                  const struct sl_upstream *upstream)
+{
+    struct sl_rollout *rollout = find(router, &flight->service->name);
+    flight->exchange.at_base = false;
+    if (rollout == NULL ||
+        SlName_Equal(&upstream->reg.version, &rollout->order.version)) {
+        return;
+    }
+    flight->exchange.at_base = true;
+    rollout->base_in_flight++;
+    note_at_base(router, rollout, session_key(flight), true);
+}
+
+void
+SlRollouts_OnEnded(struct sl_router *router, struct sl_flight *flight)
+{
+    struct sl_rollout *rollout = find(router, &flight->service->name);
+    if (!flight->exchange.at_base || rollout == NULL) {
+        return;
+    }
+    flight->exchange.at_base = false;
+    rollout->base_in_flight--;
+    note_at_base(router, rollout, session_key(flight), true);
+}
+
+/* ---- evidence ---- */
+
+static void
+fade(const struct sl_router *router, struct sl_tally_pair *tally)
+{
+    double factor =
+        exp2(-(double)(router->now_us - tally->at_us) / (double)Sl_FADE_US);
+    tally->target_answers *= factor;
+    tally->target_bad *= factor;
+    tally->base_answers *= factor;
+    tally->base_bad *= factor;
+    tally->at_us = router->now_us;
+}
+
+static struct sl_tally_pair *
+tally_of(struct sl_tally_pair *tallies, size_t *count, uint32_t route)
+{
+    for (size_t i = 0; i < *count; i++) {
+        if (tallies[i].route == route) {
+            return &tallies[i];
+        }
+    }
+    if (*count == Sl_MAX_TALLIES) {
+        return &tallies[Sl_MAX_TALLIES - 1]; /* the rest of the routes */
+    }
+    struct sl_tally_pair *tally = &tallies[(*count)++];
+    memset(tally, 0, sizeof(*tally));
+    tally->route = route;
+    return tally;
+}
+
+void
+SlRollouts_OnAnswer(struct sl_router *router, const struct sl_flight *flight,
+                    bool bad)
+{
+    struct sl_rollout *rollout = find(router, &flight->service->name);
+    if (rollout == NULL || is_over(rollout)) {
+        return;
+    }
+    uint32_t route =
+        (uint32_t)SlHash_Bytes(0, SlName_Str(&flight->route->name));
+    struct sl_tally_pair *tally =
+        tally_of(rollout->tallies, &rollout->tally_count, route);
+    fade(router, tally);
+    if (flight->exchange.at_base) {
+        tally->base_answers += 1;
+        tally->base_bad += bad ? 1 : 0;
+    }
+    else {
+        tally->target_answers += 1;
+        tally->target_bad += bad ? 1 : 0;
+    }
+}
+
+static const struct sl_gossip_rollout *
+told_by(const struct sl_router *router, const struct sl_router_peer *peer,
+        const struct sl_rollout *rollout)
+{
+    for (size_t i = 0; i < peer->digest.rollout_count; i++) {
+        if (peer->digest.rollouts[i].order == rollout->offset &&
+            router->now_us - peer->heard_us < Sl_EVIDENCE_AGE_US) {
+            return &peer->digest.rollouts[i];
+        }
+    }
+    return NULL;
+}
+
+/* Own and peers' answers by route. */
+static size_t
+sum_tallies(struct sl_router *router, struct sl_rollout *rollout,
+            struct sl_tally_pair *sums)
+{
+    size_t count = rollout->tally_count;
+    GHashTableIter iter;
+    gpointer value;
+    for (size_t i = 0; i < count; i++) {
+        fade(router, &rollout->tallies[i]);
+        sums[i] = rollout->tallies[i];
+    }
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_gossip_rollout *told = told_by(router, value, rollout);
+        for (size_t i = 0; told != NULL && i < told->tally_count; i++) {
+            struct sl_tally_pair *sum =
+                tally_of(sums, &count, told->tallies[i].route);
+            sum->target_answers += told->tallies[i].target_answers / 10.0;
+            sum->target_bad += told->tallies[i].target_bad / 10.0;
+            sum->base_answers += told->tallies[i].base_answers / 10.0;
+            sum->base_bad += told->tallies[i].base_bad / 10.0;
+        }
+    }
+    return count;
+}
+
+/* Does the target fail more often than the others, beyond chance? */
+static bool
+is_worse(const struct sl_tally_pair *tally)
+{
+    if (tally->target_bad < Sl_MIN_BAD) {
+        return false;
+    }
+    double base_n = tally->base_answers + Sl_PRIOR_ANSWERS;
+    double base_bad = tally->base_bad + Sl_PRIOR_ANSWERS * Sl_PRIOR_BAD;
+    double target = tally->target_bad / tally->target_answers;
+    double base = base_bad / base_n;
+    double pooled =
+        (tally->target_bad + base_bad) / (tally->target_answers + base_n);
+    double error =
+        sqrt(pooled * (1 - pooled) * (1 / tally->target_answers + 1 / base_n));
+    return target > base && target - base >= Sl_SIGMAS * error;
+}
+
+static void
+judge(struct sl_router *router, struct sl_rollout *rollout)
+{
+    struct sl_tally_pair sums[Sl_MAX_TALLIES + 1];
+    size_t count = sum_tallies(router, rollout, sums);
+    struct sl_tally_pair all = {0};
+    const struct sl_tally_pair *worst = NULL;
+    for (size_t i = 0; i < count; i++) {
+        all.target_answers += sums[i].target_answers;
+        all.target_bad += sums[i].target_bad;
+        all.base_answers += sums[i].base_answers;
+        all.base_bad += sums[i].base_bad;
+        if (is_worse(&sums[i])) {
+            worst = &sums[i];
+        }
+    }
+    if (worst == NULL && is_worse(&all)) {
+        worst = &all;
+    }
+    if (worst == NULL) {
+        return;
+    }
+    rollout->suspect = true;
+    router->capacity_changed = true;
+    log_rollout(router, rollout, "rollout_suspect");
+    SlLine_Int(router, "target_answers", (int64_t)worst->target_answers);
+    SlLine_Int(router, "target_bad", (int64_t)worst->target_bad);
+    SlLine_Int(router, "base_answers", (int64_t)worst->base_answers);
+    SlLine_Int(router, "base_bad", (int64_t)worst->base_bad);
+    SlLine_End(router, Sl_LOG_WARN);
+}
+
+/* ---- progress ---- */
+
+static int64_t
+fleet_base_in_flight(const struct sl_router *router,
+                     const struct sl_rollout *rollout)
+{
+    int64_t sum = rollout->base_in_flight;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_gossip_rollout *told = told_by(router, value, rollout);
+        sum += told == NULL ? 0 : told->base_in_flight;
+    }
+    return sum;
+}
+
+static void
+advance(struct sl_router *router, struct sl_rollout *rollout)
+{
+    int64_t duration = rollout->order.duration_us;
+    size_t base;
+    if (rollout->ramped_us == 0 &&
+        elapsed_us(router, rollout) >=
+            (int64_t)(Sl_RAMP_AT * (double)duration) + Sl_SKEW_US &&
+        2 * ready_targets(router, rollout, &base) >= base) {
+        rollout->ramped_us = router->now_us;
+        log_rollout(router, rollout, "rollout_ramp");
+        SlLine_End(router, Sl_LOG_INFO);
+    }
+    if (rollout->ramped_us != 0 && rollout->full_us == 0 &&
+        share_of(router, rollout) >= 1) {
+        rollout->full_us = router->now_us;
+        log_rollout(router, rollout, "rollout_full");
+        SlLine_End(router, Sl_LOG_INFO);
+    }
+}
+
+static bool
+may_complete(const struct sl_router *router, const struct sl_rollout *rollout)
+{
+    if (rollout->full_us == 0) {
+        return false;
+    }
+    int64_t watched = router->now_us - rollout->full_us;
+    bool settled = watched >= Sl_SETTLE_US + Sl_SKEW_US &&
+                   fleet_base_in_flight(router, rollout) == 0;
+    return settled || elapsed_us(router, rollout) >=
+                          rollout->order.duration_us - Sl_RESERVE_US;
+}
+
+/* ---- status ---- */
+
+/* The status that should stand in the store; false when the right one does. */
+static bool
+wanted_status(const struct sl_router *router, const struct sl_rollout *rollout,
+              struct sl_rollout_status *status)
+{
+    status->service = rollout->order.service;
+    status->version = rollout->order.version;
+    status->order = rollout->offset;
+    status->ramped = rollout->ramped_us != 0;
+    status->began_ms =
+        router->wall_ms - elapsed_us(router, rollout) / Sl_US_PER_MS;
+    status->state = rollout->suspect                ? Sl_ROLLOUT_ROLLED_BACK
+                    : may_complete(router, rollout) ? Sl_ROLLOUT_COMPLETED
+                                                    : Sl_ROLLOUT_RUNNING;
+    return !rollout->has_status || status->state != rollout->state ||
+           status->ramped != rollout->status_ramped;
+}
+
+static void
+write_status(struct sl_router *router, struct sl_rollout *rollout,
+             const struct sl_rollout_status *status)
+{
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_APPEND);
+    rollout->append_token = ++router->last_token;
+    effect->u.append.feed = Sl_FEED_STATUS;
+    effect->u.append.token = rollout->append_token;
+    effect->u.append.conditional = true;
+    effect->u.append.at = router->feeds[Sl_FEED_STATUS].next;
+    effect->u.append.record.type = Sl_RECORD_STATUS;
+    effect->u.append.record.u.status = *status;
+    log_rollout(router, rollout, "rollout_write");
+    SlLine_Int(router, "state", status->state);
+    SlLine_Int(router, "at", (int64_t)effect->u.append.at);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
+static void
+answer_order(struct sl_router *router, struct sl_rollout *rollout)
+{
+    struct sl_rollout_status status;
+    if (!wanted_status(router, rollout, &status)) {
+        rollout->wanted_us = 0;
+        return;
+    }
+    if (rollout->wanted_us == 0 || rollout->wanted_state != status.state) {
+        rollout->wanted_us = router->now_us;
+        rollout->wanted_state = status.state;
+    }
+    size_t rank = SlPeers_Rank(router, SlName_Str(&rollout->order.service));
+    if (rollout->append_token == 0 && router->feeds[Sl_FEED_STATUS].synced &&
+        router->now_us >= rollout->append_retry_us &&
+        router->now_us - rollout->wanted_us >= (int64_t)rank * Sl_RANK_US) {
+        write_status(router, rollout, &status);
+    }
+}
+
+static void
+on_check(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    router->rollout_timer = 0;
+    SlRollouts_Run(router);
+}
+
+void
+SlRollouts_Run(struct sl_router *router)
+{
+    bool active = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        if (is_over(rollout)) {
+            continue;
+        }
+        active = true;
+        if (!rollout->suspect) {
+            judge(router, rollout);
+            advance(router, rollout);
+        }
+        answer_order(router, rollout);
+    }
+    if (active && router->rollout_timer == 0) {
+        router->rollout_timer = SlTimers_Subscribe(
+            router->timers, router->now_us + Sl_CHECK_US, on_check, router, 0);
+    }
+}
+
+void
+SlRollouts_OnAppended(struct sl_router *router,
+                      const struct sl_router_event *event)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        if (rollout->append_token != event->u.appended.token) {
+            continue;
+        }
+        rollout->append_token = 0;
+        /* The status feed tells what stands now; until then, no repeat. */
+        rollout->append_retry_us = router->now_us + Sl_APPEND_RETRY_US;
+        if (event->err != NULL || event->u.appended.conflict) {
+            log_rollout(router, rollout, "rollout_write_failed");
+            SlLine_Int(router, "conflict", event->u.appended.conflict);
+            if (event->err != NULL) {
+                SlLine_Error(router, event->err);
+            }
+            SlLine_End(router, Sl_LOG_WARN);
+        }
+    }
+}
+
+/* ---- news ---- */
+
+static void
+note_flights(struct sl_router *router, struct sl_rollout *rollout)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->flights);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_flight *flight = value;
+        if (flight->exchange.token != 0 &&
+            SlName_Equal(&flight->service->name, &rollout->order.service)) {
+            SlRollouts_OnSent(router, flight, flight->exchange.upstream);
+        }
+    }
+}
+
+/* Goes by the wall clock, for want of anything better, when this router
+ * started after the roll-out had begun. */
+static void
+take_beginning(struct sl_router *router, struct sl_rollout *rollout,
+               const struct sl_rollout_status *status)
+{
+    int64_t age_us = (router->wall_ms - status->began_ms) * Sl_US_PER_MS;
+    if (status->began_ms > 0 && age_us > 0 &&
+        age_us < 2 * rollout->order.duration_us &&
+        router->now_us - router->started_us < Sl_US_PER_S) {
+        rollout->began_us = MIN(rollout->began_us, router->now_us - age_us);
+    }
+}
+
+static void
+take_status(struct sl_router *router, const struct sl_rollout_status *status)
+{
+    struct sl_rollout *rollout = find(router, &status->service);
+    if (rollout == NULL || status->order != rollout->offset) {
+        return;
+    }
+    if (!rollout->has_status) {
+        take_beginning(router, rollout, status);
+    }
+    rollout->has_status = true;
+    rollout->state = status->state;
+    rollout->status_ramped = status->ramped;
+    if (status->ramped && rollout->ramped_us == 0) {
+        rollout->ramped_us = router->now_us;
+    }
+    router->capacity_changed = true;
+    log_rollout(router, rollout, "rollout_status");
+    SlLine_Int(router, "state", status->state);
+    SlLine_Int(router, "ramped", status->ramped);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
+void
+SlRollouts_OnOrder(struct sl_router *router, const struct sl_record *record)
+{
+    const struct sl_rollout_order *order = &record->u.rollout;
+    struct sl_rollout *rollout = find(router, &order->service);
+    if (rollout != NULL && record->offset <= rollout->offset) {
+        return;
+    }
+    if (record->dropped) {
+        if (rollout != NULL) {
+            log_rollout(router, rollout, "rollout_withdrawn");
+            SlLine_End(router, Sl_LOG_INFO);
+            g_hash_table_remove(router->rollouts, &order->service);
+        }
+        return;
+    }
+    rollout = g_new0(struct sl_rollout, 1);
+    rollout->order = *order;
+    rollout->offset = record->offset;
+    rollout->began_us = router->now_us;
+    rollout->at_base = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    rollout->told = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    g_hash_table_replace(router->rollouts, &rollout->order.service, rollout);
+    log_rollout(router, rollout, "rollout_order");
+    SlLine_End(router, Sl_LOG_INFO);
+    note_flights(router, rollout);
+    const struct sl_rollout_status *status =
+        g_hash_table_lookup(router->statuses, &order->service);
+    if (status != NULL) {
+        take_status(router, status);
+    }
+    SlRollouts_Run(router);
+}
+
+void
+SlRollouts_OnStatus(struct sl_router *router, const struct sl_record *record)
+{
+    if (!record->dropped) {
+        struct sl_rollout_status *status =
+            g_memdup2(&record->u.status, sizeof(*status));
+        g_hash_table_replace(router->statuses, &status->service, status);
+        take_status(router, status);
+        SlRollouts_Run(router);
+    }
+}
+
+void
+SlRollouts_OnGossip(struct sl_router *router,
+                    const struct sl_gossip_rollout *digest)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        if (rollout->offset != digest->order) {
+            continue;
+        }
+        int64_t began = router->now_us - digest->elapsed_ms * Sl_US_PER_MS;
+        rollout->began_us = MIN(rollout->began_us, began);
+        for (size_t i = 0; i < digest->session_count; i++) {
+            note_at_base(router, rollout, digest->sessions[i], false);
+        }
+    }
+}
+
+/* Sessions that are at a version to be left for longer than a digest. */
+static void
+tell_flights(const struct sl_router *router, const struct sl_rollout *rollout,
+             struct sl_gossip_rollout *told)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->flights);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           told->session_count < Sl_GOSSIP_MAX_SESSIONS) {
+        const struct sl_flight *flight = value;
+        uint32_t key = session_key(flight);
+        if (flight->exchange.at_base && key != 0 &&
+            SlName_Equal(&flight->service->name, &rollout->order.service) &&
+            bucket_of(rollout, key) < canary_share(router)) {
+            told->sessions[told->session_count++] = key;
+        }
+    }
+}
+
+static uint32_t
+tenths(double value)
+{
+    return (uint32_t)(value * 10 + 0.5);
+}
+
+void
+SlRollouts_Tell(struct sl_router *router, struct sl_gossip *digest)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           digest->rollout_count < Sl_GOSSIP_MAX_ROLLOUTS) {
+        struct sl_rollout *rollout = value;
+        if (is_over(rollout)) {
+            continue;
+        }
+        struct sl_gossip_rollout *told =
+            &digest->rollouts[digest->rollout_count++];
+        memset(told, 0, sizeof(*told));
+        told->order = rollout->offset;
+        told->elapsed_ms =
+            (uint32_t)(elapsed_us(router, rollout) / Sl_US_PER_MS);
+        told->base_in_flight = (uint32_t)rollout->base_in_flight;
+        for (size_t i = 0; i < rollout->tally_count; i++) {
+            struct sl_tally_pair *tally = &rollout->tallies[i];
+            fade(router, tally);
+            told->tallies[told->tally_count++] = (struct sl_gossip_tally){
+                .route = tally->route,
+                .target_answers = tenths(tally->target_answers),
+                .target_bad = tenths(tally->target_bad),
+                .base_answers = tenths(tally->base_answers),
+                .base_bad = tenths(tally->base_bad),
+            };
+        }
+        tell_flights(router, rollout, told);
+        for (size_t i = 0; i < rollout->told->len &&
+                           told->session_count < Sl_GOSSIP_MAX_SESSIONS;
+             i++) {
+            told->sessions[told->session_count++] =
+                g_array_index(rollout->told, uint32_t, i);
+        }
+    }
+}
+
+void
+SlRollouts_Told(struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        g_array_set_size(rollout->told, 0);
+    }
+}
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -31,6 +31,17 @@
                                             SlFlight_Free);
     router->by_token = g_hash_table_new(g_int64_hash, g_int64_equal);
     router->queue = g_queue_new();
+    router->by_key = g_hash_table_new(NULL, NULL);
+    router->paces = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
+                                          g_free, g_free);
+    router->rollouts = g_hash_table_new_full(
+        SlName_TableHash, SlName_TableEqual, NULL, SlRollouts_Free);
+    router->statuses = g_hash_table_new_full(SlName_TableHash,
+                                             SlName_TableEqual, NULL, g_free);
+    router->peers = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
+                                          NULL, g_free);
+    router->addresses = g_ptr_array_new();
+    router->started_us = options->now_us;
     router->garbage = g_ptr_array_new_with_free_func(free_garbage);
     return router;
 }
@@ -42,6 +53,12 @@
         return;
     }
     g_queue_free(router->queue);
+    g_ptr_array_free(router->addresses, TRUE);
+    g_hash_table_destroy(router->peers);
+    g_hash_table_destroy(router->statuses);
+    g_hash_table_destroy(router->rollouts);
+    g_hash_table_destroy(router->paces);
+    g_hash_table_destroy(router->by_key);
     g_hash_table_destroy(router->by_token);
     g_hash_table_destroy(router->flights);
     g_ptr_array_free(router->garbage, TRUE);
@@ -60,6 +77,29 @@
     return SlTimers_NextDue(router->timers);
 }
 
+/* What upstreams are believed to hold is looked through this often. */
+#define Sl_SWEEP_US (5 * Sl_US_PER_S)
+
+static void
+on_sweep(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    SlUpstreams_Sweep(router);
+    SlTimers_Subscribe(router->timers, router->now_us + Sl_SWEEP_US, on_sweep,
+                       router, 0);
+}
+
+static void
+start(struct sl_router *router)
+{
+    router->started = true;
+    SlFeeds_Start(router);
+    SlDigests_Start(router);
+    on_sweep(router, 0, router->now_us);
+}
+
 /* ---- drain ---- */
 
 static void
@@ -106,6 +146,7 @@
                (int64_t)g_hash_table_size(router->flights));
     SlLine_End(router, Sl_LOG_INFO);
     SlOutbox_Add(router, Sl_RFX_CLOSE_CONNS);
+    SlDigests_Leave(router);
     SlTimers_Subscribe(router->timers, router->now_us + Sl_DRAIN_ACCEPT_US,
                        on_stop_accepting, router, 0);
     SlTimers_Subscribe(router->timers,
@@ -137,20 +178,30 @@
         SlFlight_OnGone(router, event->u.conn);
         break;
     case Sl_REV_ANSWER_HEAD:
-        SlExchange_OnHead(router, event->u.answer.token, event->u.answer.head);
+        SlAnswers_OnHead(router, event->u.answer.token, event->u.answer.head);
         break;
     case Sl_REV_ANSWER_PIECE:
-        SlExchange_OnPiece(router, event->u.answer.token,
-                           event->u.answer.bytes);
+        SlAnswers_OnPiece(router, event->u.answer.token,
+                          event->u.answer.bytes);
         break;
     case Sl_REV_ANSWER_DONE:
-        SlExchange_OnDone(router, event->u.answer.token, event->err,
-                          event->u.answer.connected);
+        SlAnswers_OnDone(router, event->u.answer.token, event->err,
+                         event->u.answer.connected);
         break;
     case Sl_REV_FEED:
         SlFeeds_OnAnswer(router, event);
         break;
     case Sl_REV_APPENDED:
+        if (event->u.appended.token == router->member_token) {
+            SlDigests_OnRegistered(router, event->err);
+        }
+        else {
+            SlRollouts_OnAppended(router, event);
+        }
+        break;
+    case Sl_REV_GOSSIP:
+        SlDigests_OnDigest(router, event->u.gossip);
+        break;
     default:
         break;
     }
@@ -165,8 +216,7 @@
     router->now_us = MAX(router->now_us, event->now_us);
     router->wall_ms = event->wall_ms;
     if (!router->started) {
-        router->started = true;
-        SlFeeds_Start(router);
+        start(router);
     }
     SlTimers_Run(router->timers, router->now_us);
     dispatch(router, event);
@@ -174,6 +224,10 @@
     if (router->capacity_changed && router->queue->length > 0) {
         SlWaiting_Run(router);
     }
+    if (router->loads_changed) {
+        router->loads_changed = false;
+        SlDigests_Soon(router);
+    }
     if (router->stopped_accepting && g_hash_table_size(router->flights) == 0) {
         leave(router);
     }
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -18,6 +18,7 @@
 #ifndef Sl_ROUTER_H
 #define Sl_ROUTER_H
 
+#include "sl_gossip.h"
 #include "sl_routing.h"
 
 /* ---- 1. Router -------------------------------------------------------- */
@@ -122,7 +123,9 @@
     struct sl_name service;
     struct sl_name version;
     enum sl_rollout_state state;
-    uint64_t order; /* offset of the order that it answers */
+    uint64_t order;   /* offset of the order that it answers */
+    bool ramped;      /* the share of the target grows, or is whole */
+    int64_t began_ms; /* wall clock at which it was first seen */
 };
 
 /* A router of the fleet. */
@@ -130,7 +133,6 @@
     struct sl_name vm;
     struct sl_name domain;
     struct sl_name address; /* "IP:PORT" for peers */
-    uint64_t boot;
 };
 
 struct sl_record {
@@ -211,6 +213,7 @@
     Sl_REV_ANSWER_DONE, /* `err` is NULL when the answer is whole */
     Sl_REV_FEED,        /* u.feed: answer to a read, or `err` */
     Sl_REV_APPENDED,    /* u.appended, or `err` */
+    Sl_REV_GOSSIP,      /* u.gossip: a peer's digest */
 };
 
 struct sl_router_event {
@@ -241,6 +244,7 @@
             bool conflict; /* the topic had grown */
             uint64_t end;
         } appended;
+        const struct sl_gossip *gossip;
     } u;
 };
 
@@ -258,6 +262,7 @@
     Sl_RFX_READ_NEWEST, /* u.read: all keys; answer: FEED */
     Sl_RFX_READ_ON,     /* u.read: records from `from`; answer: FEED */
     Sl_RFX_APPEND,      /* u.append; answer: APPENDED */
+    Sl_RFX_GOSSIP,      /* u.gossip: a digest to several peers */
     Sl_RFX_LOG,         /* u.line */
     Sl_RFX_CLOSE_CONNS, /* answers end with their connection from now on */
     Sl_RFX_STOP_ACCEPTING,
@@ -319,6 +324,11 @@
             uint64_t at;
             struct sl_record record; /* STATUS or MEMBER; key not set */
         } append;
+        struct {
+            const struct sl_gossip *digest;
+            size_t count;
+            const struct sl_name *const *addresses;
+        } gossip;
         struct {
             enum sl_log_level level;
             struct sl_str fields; /* JSON members: "event":"sent",... */
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -3,11 +3,16 @@
  *
  * sl_router.c     dispatcher of events, start, drain, timers
  * sl_feeds.c      following the store's topics
+ * sl_digests.c    telling the other routers, and hearing from them
+ * sl_answers.c    what upstreams answer, and what follows
  * sl_flight.c     a request from its arrival to its end
- * sl_exchange.c   one call of a flight, and what its answer means
  * sl_waiting.c    flights that wait for an upstream
+ * sl_calls.c      sending to upstreams
  * sl_placement.c  which upstream a flight goes to
+ * sl_rollouts.c   moving a service's traffic to a version
+ * sl_peers.c      the other routers
  * sl_upstreams.c  what is believed of upstreams
+ * sl_pace.c       how fast models read prompts
  * sl_events.c     events of a stream, one by one
  * sl_outbox.c     effects
  *
@@ -16,6 +21,7 @@
 #ifndef Sl_ROUTER_INTERNAL_H
 #define Sl_ROUTER_INTERNAL_H
 
+#include "sl_gossip.h"
 #include "sl_router.h"
 
 #include <assert.h>
@@ -24,6 +30,7 @@
 
 struct sl_upstream {
     struct sl_registration reg;
+    uint32_t key;          /* hash of its id, for gossip */
     uint64_t offset;       /* of its newest registration */
     int64_t heard_us;      /* when that was read */
     bool listed;           /* registered; others only finish their work */
@@ -37,15 +44,79 @@
     int64_t told_us;       /* when an answer last told its load; 0: never */
     int64_t told_load;     /* running and waiting, own ones included */
     int64_t sent_since;    /* own requests sent since that answer */
-    GHashTable *parts;     /* id -> struct sl_held_part, owned */
+    int64_t unread_us;     /* own prompts that are not read yet, as time */
+    int64_t reading_us;    /* when the first of them began to be read */
+    int64_t peers_in_flight;
+    int64_t peers_unread_us;
+    GHashTable *parts; /* key -> struct sl_held_part, owned */
 };
 
-/* A prompt part that an upstream read for us. */
+/* A prompt part that an upstream read for a model. */
 struct sl_held_part {
-    uint64_t id;
+    uint64_t key; /* of part and model */
     int64_t used_us;
 };
 
+/* ---- pace ---- */
+
+/* How long a model takes to the first event of an answer. */
+struct sl_pace {
+    double base_us;
+    double us_per_token; /* of the prompt, where it is not cached */
+};
+
+/* ---- peers ---- */
+
+struct sl_router_peer {
+    struct sl_name vm;
+    struct sl_name address;
+    int64_t heard_us; /* or when it was first heard of */
+    int64_t sent_us;
+    struct sl_gossip digest; /* the newest; boot 0: none yet */
+};
+
+/* ---- roll-outs ---- */
+
+/* Answers on one route, fading with time. */
+struct sl_tally_pair {
+    uint32_t route; /* hash of its name */
+    int64_t at_us;  /* to which the counts have faded */
+    double target_answers;
+    double target_bad;
+    double base_answers;
+    double base_bad;
+};
+
+#define Sl_MAX_TALLIES Sl_GOSSIP_MAX_TALLIES
+
+struct sl_rollout {
+    struct sl_rollout_order order;
+    uint64_t offset;   /* of the order */
+    int64_t began_us;  /* when it was first seen by anybody, as far as known */
+    int64_t ramped_us; /* when the share began to grow; 0: not yet */
+    int64_t full_us;   /* when all traffic went to the target; 0: not yet */
+    bool suspect;      /* the evidence says that the target is bad */
+    bool has_status;
+    enum sl_rollout_state state; /* as the store holds it */
+    bool status_ramped;
+    enum sl_rollout_state wanted_state;
+    int64_t wanted_us; /* since when another status should stand; 0: none */
+    uint64_t append_token; /* status being written; 0: none */
+    int64_t append_retry_us;
+    int64_t base_in_flight; /* own */
+    size_t tally_count;
+    struct sl_tally_pair tallies[Sl_MAX_TALLIES];
+    GHashTable *at_base; /* session -> int64_t last time at a base version */
+    GArray *told;        /* uint32_t sessions for the next digest */
+};
+
+/* Where a flight may go while a roll-out is under way. */
+enum sl_version_rule {
+    Sl_VERSION_ANY,
+    Sl_VERSION_TARGET,
+    Sl_VERSION_BASE, /* any but the target */
+};
+
 /* ---- streams ---- */
 
 /* Splits a stream into events, which end with an empty line. */
@@ -80,6 +151,11 @@
     struct sl_upstream *upstream;
     int64_t sent_us;
     int64_t last_bytes_us;
+    int64_t expected_us; /* to its head, as guessed when it was sent */
+    int64_t uncached;    /* prompt tokens that had to be read, as guessed */
+    bool is_unread;      /* the prompt is not read yet */
+    bool was_idle;       /* nothing else was to be read there before it */
+    bool at_base;        /* at a version that a roll-out leaves */
     bool has_head;
     struct sl_answer_head head;
     struct sl_buf headers; /* to be passed on */
@@ -128,6 +204,7 @@
 
 struct sl_router {
     struct sl_router_options options;
+    int64_t started_us;
     int64_t now_us;
     int64_t wall_ms;
     struct sl_random random;
@@ -144,6 +221,18 @@
     GHashTable *evacuated; /* domain name -> itself, owned */
 
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
+    GHashTable *paces;     /* model name -> struct sl_pace, owned */
+    GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
+    GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
+    bool peers_changed;    /* the sums at upstreams are out of date */
+    GHashTable *by_key;    /* key -> struct sl_upstream */
+    uint64_t member_token; /* append of the own member record */
+    uint64_t rollout_timer;
+    GHashTable *statuses;  /* service name -> struct sl_rollout_status */
+    bool loads_changed;    /* peers of the failure domain are told soon */
+    uint64_t gossip_timer; /* to peers of the own failure domain, soon */
+    struct sl_gossip digest;
+    GPtrArray *addresses;  /* struct sl_name, of the digest's receivers */
     GHashTable *flights;   /* conn -> struct sl_flight, owned */
     GHashTable *by_token;  /* call token -> struct sl_flight */
     GQueue *queue;         /* waiting flights, most urgent first */
@@ -191,9 +280,10 @@
 bool SlUpstreams_IsEvacuated(const struct sl_router *router,
                              const struct sl_name *domain);
 void SlUpstreams_OnSent(struct sl_router *router, struct sl_upstream *upstream,
-                        const struct sl_flight *flight);
+                        struct sl_flight *flight);
 void SlUpstreams_OnEnded(struct sl_router *router,
-                         struct sl_upstream *upstream);
+                         struct sl_upstream *upstream,
+                         struct sl_exchange *exchange);
 void SlUpstreams_OnLoad(struct sl_router *router, struct sl_upstream *upstream,
                         const struct sl_answer_head *head);
 /* An answer came. */
@@ -208,6 +298,77 @@
                            int64_t retry_after_us);
 int64_t SlUpstreams_Load(const struct sl_upstream *upstream);
 
+/* Own prompts that wait to be read there, and peers', as time. */
+int64_t SlUpstreams_OwnUnread(const struct sl_router *router,
+                              const struct sl_upstream *upstream);
+int64_t SlUpstreams_Unread(const struct sl_router *router,
+                           const struct sl_upstream *upstream);
+/* Prompt tokens that the upstream would have to read. */
+int64_t SlUpstreams_Uncached(const struct sl_flight *flight,
+                             const struct sl_upstream *upstream);
+/* The head of an exchange's answer came: its prompt was read. */
+void SlUpstreams_OnRead(struct sl_router *router, struct sl_upstream *upstream,
+                        struct sl_exchange *exchange);
+/* Forgets parts that were not used for long. */
+void SlUpstreams_Sweep(struct sl_router *router);
+
+/* ---- pace ---- */
+
+/* Guess of the time from sending to the head of the answer. */
+int64_t SlPace_Expect(const struct sl_router *router,
+                      const struct sl_name *model, int64_t uncached);
+void SlPace_Learn(struct sl_router *router, const struct sl_name *model,
+                  int64_t uncached, int64_t took_us);
+
+/* ---- peers ---- */
+
+/* A member record was read. */
+void SlPeers_OnMember(struct sl_router *router,
+                      const struct sl_member *member);
+/* Takes a digest; false when it is no news. */
+bool SlPeers_Take(struct sl_router *router, const struct sl_gossip *digest);
+/* Routers that are believed to live, this one included. */
+size_t SlPeers_FleetSize(const struct sl_router *router);
+/* This router's place among those, by `key`: 0 is the first to act. */
+size_t SlPeers_Rank(const struct sl_router *router, struct sl_str key);
+bool SlPeers_IsLive(const struct sl_router *router,
+                    const struct sl_router_peer *peer);
+/* Brings the sums at upstreams up to date. */
+void SlPeers_SumLoads(struct sl_router *router);
+/* Pause between digests to all peers. */
+int64_t SlPeers_BeatUs(const struct sl_router *router);
+/* Forgets peers that were silent for long. */
+void SlPeers_Forget(struct sl_router *router);
+
+/* ---- roll-outs ---- */
+
+void SlRollouts_OnOrder(struct sl_router *router,
+                        const struct sl_record *record);
+void SlRollouts_OnStatus(struct sl_router *router,
+                         const struct sl_record *record);
+void SlRollouts_OnGossip(struct sl_router *router,
+                         const struct sl_gossip_rollout *digest);
+void SlRollouts_OnAppended(struct sl_router *router,
+                           const struct sl_router_event *event);
+/* Acts on what time and evidence say. */
+void SlRollouts_Run(struct sl_router *router);
+/* Adds what peers should know to the digest. */
+void SlRollouts_Tell(struct sl_router *router, struct sl_gossip *digest);
+/* All peers were told. */
+void SlRollouts_Told(struct sl_router *router);
+enum sl_version_rule SlRollouts_RuleFor(struct sl_router *router,
+                                        const struct sl_flight *flight);
+/* The version that the service's roll-out brings in, or NULL. */
+const struct sl_name *SlRollouts_Target(const struct sl_router *router,
+                                        const struct sl_name *service);
+void SlRollouts_OnSent(struct sl_router *router, struct sl_flight *flight,
+                       const struct sl_upstream *upstream);
+void SlRollouts_OnEnded(struct sl_router *router, struct sl_flight *flight);
+/* An answer of the upstream's own: was it bad? */
+void SlRollouts_OnAnswer(struct sl_router *router,
+                         const struct sl_flight *flight, bool bad);
+void SlRollouts_Free(gpointer rollout);
+
 /* ---- placement ---- */
 
 /* The upstream that should run the flight now, or NULL when none can. Then
@@ -226,16 +387,28 @@
 void SlWaiting_Remove(struct sl_router *router, struct sl_flight *flight);
 /* Sends what can go now. */
 void SlWaiting_Run(struct sl_router *router);
-void SlExchange_Send(struct sl_router *router, struct sl_flight *flight,
-                     struct sl_upstream *upstream);
-void SlExchange_OnHead(struct sl_router *router, uint64_t token,
-                       const struct sl_answer_head *head);
-void SlExchange_OnPiece(struct sl_router *router, uint64_t token,
-                        struct sl_str bytes);
-void SlExchange_OnDone(struct sl_router *router, uint64_t token,
-                       const struct sl_error *err, bool connected);
+/* ---- calls ---- */
+
+void SlCalls_Send(struct sl_router *router, struct sl_flight *flight,
+                  struct sl_upstream *upstream);
+/* The call has ended, or is not wanted any more. */
+void SlCalls_Detach(struct sl_router *router, struct sl_flight *flight);
 /* Stops the call that is under way, if any. */
-void SlExchange_Cancel(struct sl_router *router, struct sl_flight *flight);
+void SlCalls_Cancel(struct sl_router *router, struct sl_flight *flight);
+
+/* ---- answers ---- */
+
+void SlAnswers_OnHead(struct sl_router *router, uint64_t token,
+                      const struct sl_answer_head *head);
+void SlAnswers_OnPiece(struct sl_router *router, uint64_t token,
+                       struct sl_str bytes);
+void SlAnswers_OnDone(struct sl_router *router, uint64_t token,
+                      const struct sl_error *err, bool connected);
+
+/* ---- ends of flights ---- */
+
+/* The model that the flight asks for now; empty: none. */
+struct sl_str SlFlight_Model(const struct sl_flight *flight);
 /* Ends with an answer of our own. `ran` is false only on proof. */
 void SlFlight_Fail(struct sl_router *router, struct sl_flight *flight,
                    int status, const char *step, const char *reason, bool ran,
@@ -246,6 +419,19 @@
 void SlFlight_Again(struct sl_router *router, struct sl_flight *flight,
                     bool may_have_run, const char *step, const char *reason);
 
+/* ---- digests ---- */
+
+void SlDigests_Start(struct sl_router *router);
+/* The own member record was written, or not. */
+void SlDigests_OnRegistered(struct sl_router *router,
+                            const struct sl_error *err);
+/* The own load has changed: peers of the failure domain are told soon. */
+void SlDigests_Soon(struct sl_router *router);
+/* Tells all peers that this router leaves. */
+void SlDigests_Leave(struct sl_router *router);
+void SlDigests_OnDigest(struct sl_router *router,
+                        const struct sl_gossip *digest);
+
 /* ---- feeds ---- */
 
 void SlFeeds_Start(struct sl_router *router);
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -9,6 +9,10 @@
 #define Sl_SHUN_MAX_US (2 * Sl_US_PER_S)
 /* Pause after a refusal that names none. */
 #define Sl_REFUSED_PAUSE_US (100 * Sl_US_PER_MS)
+/* A prompt that takes longer to read than guessed still takes this share. */
+#define Sl_LATE_SHARE 0.3
+/* Upstreams drop parts that are used least; this is about when. */
+#define Sl_PART_LIFE_US (30 * Sl_US_PER_S)
 
 void
 SlUpstreams_Free(gpointer data)
@@ -40,7 +44,11 @@
     upstream->reg = *reg;
     upstream->parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    upstream->key = (uint32_t)SlHash_Bytes(0, SlName_Str(&reg->id));
     g_hash_table_insert(router->upstreams, &upstream->reg.id, upstream);
+    g_hash_table_insert(router->by_key, GUINT_TO_POINTER(upstream->key),
+                        upstream);
+    router->peers_changed = true;
     return upstream;
 }
 
@@ -93,6 +101,13 @@
     router->capacity_changed = true;
 }
 
+static void
+free_upstream(struct sl_router *router, struct sl_upstream *upstream)
+{
+    g_hash_table_remove(router->by_key, GUINT_TO_POINTER(upstream->key));
+    g_hash_table_remove(router->upstreams, &upstream->reg.id);
+}
+
 static void
 remove_upstream(struct sl_router *router, struct sl_upstream *upstream)
 {
@@ -100,7 +115,7 @@
     upstream->lapse_us = 0;
     log_upstream(router, upstream, "upstream_gone");
     if (upstream->in_flight == 0) {
-        g_hash_table_remove(router->upstreams, &upstream->reg.id);
+        free_upstream(router, upstream);
     }
 }
 
@@ -160,7 +175,48 @@
 SlUpstreams_Load(const struct sl_upstream *upstream)
 {
     int64_t told = upstream->told_load + upstream->sent_since;
-    return MAX(told, upstream->in_flight);
+    return MAX(told, upstream->in_flight + upstream->peers_in_flight);
+}
+
+int64_t
+SlUpstreams_OwnUnread(const struct sl_router *router,
+                      const struct sl_upstream *upstream)
+{
+    if (upstream->unread_us == 0) {
+        return 0;
+    }
+    int64_t left =
+        upstream->unread_us - (router->now_us - upstream->reading_us);
+    return MAX(left, (int64_t)(Sl_LATE_SHARE * (double)upstream->unread_us));
+}
+
+int64_t
+SlUpstreams_Unread(const struct sl_router *router,
+                   const struct sl_upstream *upstream)
+{
+    return SlUpstreams_OwnUnread(router, upstream) + upstream->peers_unread_us;
+}
+
+/* Parts are cached for each model apart. */
+static uint64_t
+part_key(const struct sl_flight *flight, size_t index)
+{
+    return SlHash_Bytes(flight->ask.parts[index].id, SlFlight_Model(flight));
+}
+
+int64_t
+SlUpstreams_Uncached(const struct sl_flight *flight,
+                     const struct sl_upstream *upstream)
+{
+    int64_t held = 0;
+    for (size_t i = 0; i < flight->ask.part_count; i++) {
+        uint64_t key = part_key(flight, i);
+        if (!g_hash_table_contains(upstream->parts, &key)) {
+            break; /* parts behind it are of no use */
+        }
+        held += flight->ask.parts[i].tokens;
+    }
+    return MAX(flight->ask.prompt_tokens - held, 0);
 }
 
 static void
@@ -168,37 +224,88 @@
            const struct sl_flight *flight)
 {
     for (size_t i = 0; i < flight->ask.part_count; i++) {
-        uint64_t id = flight->ask.parts[i].id;
-        struct sl_held_part *part = g_hash_table_lookup(upstream->parts, &id);
+        uint64_t key = part_key(flight, i);
+        struct sl_held_part *part = g_hash_table_lookup(upstream->parts, &key);
         if (part == NULL) {
             part = g_new0(struct sl_held_part, 1);
-            part->id = id;
-            g_hash_table_insert(upstream->parts, &part->id, part);
+            part->key = key;
+            g_hash_table_insert(upstream->parts, &part->key, part);
         }
         part->used_us = router->now_us;
     }
 }
 
+static gboolean
+is_stale_part(gpointer key, gpointer value, gpointer data)
+{
+    const struct sl_router *router = data;
+    const struct sl_held_part *part = value;
+    (void)key;
+    return router->now_us - part->used_us > Sl_PART_LIFE_US;
+}
+
+void
+SlUpstreams_Sweep(struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_upstream *upstream = value;
+        g_hash_table_foreach_remove(upstream->parts, is_stale_part, router);
+    }
+}
+
 void
 SlUpstreams_OnSent(struct sl_router *router, struct sl_upstream *upstream,
-                   const struct sl_flight *flight)
+                   struct sl_flight *flight)
 {
+    struct sl_exchange *exchange = &flight->exchange;
+    struct sl_name model = {0};
+    exchange->was_idle = SlUpstreams_Unread(router, upstream) == 0;
     upstream->in_flight++;
     upstream->sent_since++;
+    router->loads_changed = true;
+    if (!flight->service->is_engine) {
+        return;
+    }
+    (void)SlName_Set(&model, SlFlight_Model(flight));
+    exchange->uncached = SlUpstreams_Uncached(flight, upstream);
+    exchange->expected_us = SlPace_Expect(router, &model, exchange->uncached);
+    exchange->is_unread = true;
+    if (upstream->unread_us == 0) {
+        upstream->reading_us = router->now_us;
+    }
+    upstream->unread_us += exchange->expected_us;
     hold_parts(router, upstream, flight);
 }
 
 void
-SlUpstreams_OnEnded(struct sl_router *router, struct sl_upstream *upstream)
+SlUpstreams_OnRead(struct sl_router *router, struct sl_upstream *upstream,
+                   struct sl_exchange *exchange)
+{
+    if (exchange->is_unread) {
+        exchange->is_unread = false;
+        upstream->unread_us -= exchange->expected_us;
+        upstream->reading_us = router->now_us;
+        router->loads_changed = true;
+    }
+}
+
+void
+SlUpstreams_OnEnded(struct sl_router *router, struct sl_upstream *upstream,
+                    struct sl_exchange *exchange)
 {
     assert(upstream->in_flight > 0);
+    SlUpstreams_OnRead(router, upstream, exchange);
     upstream->in_flight--;
     if (upstream->told_load > 0) {
         upstream->told_load--;
     }
     router->capacity_changed = true;
+    router->loads_changed = true;
     if (upstream->in_flight == 0 && !upstream->listed) {
-        g_hash_table_remove(router->upstreams, &upstream->reg.id);
+        free_upstream(router, upstream);
     }
 }
 
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -75,7 +75,7 @@
             continue;
         }
         SlWaiting_Remove(router, flight);
-        SlExchange_Send(router, flight, upstream);
+        SlCalls_Send(router, flight, upstream);
     }
     if (router->queue->length > 0) {
         look_again_after(router, soonest);
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -2,10 +2,14 @@
 #include "sassafrasd_router.h"
 #include "sl_platform.h"
 
+#include <errno.h>
 #include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -60,6 +64,9 @@
     struct sl_server *checks;
     struct event *timer;
     struct event *flush;
+    int gossip_fd;
+    struct event *gossip;
+    char peer_address[Sl_NAME_MAX_BYTES + 1];
     GHashTable *calls; /* token -> struct sl_router_call, owned */
     struct sl_buf relay;
     struct sl_buf line;
@@ -378,6 +385,75 @@
     dispatch(context, &event);
 }
 
+/* ---- peers ---- */
+
+static void
+on_datagram(evutil_socket_t fd, short what, void *context)
+{
+    struct sl_router_shell *shell = context;
+    char bytes[Sl_GOSSIP_MAX_BYTES];
+    struct sl_error err;
+    ssize_t len;
+    (void)what;
+    while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        struct sl_gossip digest;
+        struct sl_router_event event = {.type = Sl_REV_GOSSIP};
+        if (SlGossip_Decode((struct sl_str){bytes, (size_t)len}, &digest,
+                            &err) != Sl_OK) {
+            log_fields(shell, Sl_LOG_WARN,
+                       Sl_STR("\"event\":\"digest_unreadable\""));
+            continue;
+        }
+        event.u.gossip = &digest;
+        dispatch(shell, &event);
+    }
+}
+
+static void
+send_digest(struct sl_router_shell *shell,
+            const struct sl_router_effect *effect)
+{
+    struct sl_buf bytes = {0};
+    SlGossip_Encode(effect->u.gossip.digest, &bytes);
+    for (size_t i = 0; i < effect->u.gossip.count; i++) {
+        struct sockaddr_in address;
+        int len = sizeof(address);
+        if (evutil_parse_sockaddr_port(effect->u.gossip.addresses[i]->text,
+                                       (struct sockaddr *)&address,
+                                       &len) == 0) {
+            /* A digest that is lost is made good by the next. */
+            (void)sendto(shell->gossip_fd, bytes.ptr, bytes.len, 0,
+                         (struct sockaddr *)&address, (socklen_t)len);
+        }
+    }
+    SlBuf_Free(&bytes);
+}
+
+static bool
+open_gossip(struct sl_router_shell *shell, struct sl_error *err)
+{
+    struct sockaddr_in address;
+    int len = sizeof(address);
+    g_snprintf(shell->peer_address, sizeof(shell->peer_address), "%s:%d",
+               shell->settings.ip.text, shell->settings.first_port);
+    shell->gossip_fd = socket(AF_INET, SOCK_DGRAM, 0);
+    if (shell->gossip_fd < 0 ||
+        evutil_make_socket_nonblocking(shell->gossip_fd) != 0 ||
+        evutil_parse_sockaddr_port(shell->peer_address,
+                                   (struct sockaddr *)&address, &len) != 0 ||
+        bind(shell->gossip_fd, (struct sockaddr *)&address, (socklen_t)len) !=
+            0) {
+        (void)SlError_Set(err, Sl_ERR_INVALID, "gossip.listen",
+                          shell->peer_address, "cannot bind: %s",
+                          g_strerror(errno));
+        return false;
+    }
+    shell->gossip = event_new(shell->base, shell->gossip_fd,
+                              EV_READ | EV_PERSIST, on_datagram, shell);
+    event_add(shell->gossip, NULL);
+    return true;
+}
+
 /* ---- effects ---- */
 
 static void
@@ -433,6 +509,9 @@
                        effect->u.append.conditional ? &effect->u.append.at
                                                     : NULL);
         break;
+    case Sl_RFX_GOSSIP:
+        send_digest(shell, effect);
+        break;
     case Sl_RFX_LOG:
         log_fields(shell, effect->u.line.level, effect->u.line.fields);
         break;
@@ -468,6 +547,7 @@
         .vm = settings->vm,
         .domain = settings->domain,
         .region = settings->region,
+        .peer_address = SlName_Of(shell->peer_address),
         .bounds = settings->bounds,
         .boot = random_number() | 1,
         .seed = random_number(),
@@ -526,6 +606,9 @@
         .context = shell,
     };
     shell->store = SlStore_New(&store);
+    if (!open_gossip(shell, err)) {
+        return false;
+    }
     start_router(shell);
     return start_servers(shell, err);
 }
@@ -533,6 +616,12 @@
 static void
 stop(struct sl_router_shell *shell)
 {
+    if (shell->gossip != NULL) {
+        event_free(shell->gossip);
+    }
+    if (shell->gossip_fd >= 0) {
+        close(shell->gossip_fd);
+    }
     SlServer_Free(shell->checks);
     SlServer_Free(shell->callers);
     SlStore_Free(shell->store);
@@ -567,7 +656,7 @@
 int
 SlRouterShell_Main(enum sl_log_level level)
 {
-    struct sl_router_shell shell = {.level = level};
+    struct sl_router_shell shell = {.level = level, .gossip_fd = -1};
     struct sl_error err;
     int code = Sl_EXIT_START;
     if (!load_settings(&shell.settings)) {
