--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -66,6 +66,8 @@
                upstream->told_us == 0
                    ? -1
                    : (router->now_us - upstream->told_us) / Sl_US_PER_MS);
+    SlLine_Name(router, "version", &upstream->reg.version);
+    SlLine_Int(router, "session", (int64_t)(uint32_t)flight->session);
     SlLine_Str(router, "model", call->model);
     SlLine_Int(router, "waited_ms",
                (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -150,13 +150,19 @@
 static uint64_t
 session_of(const struct sl_ask *ask)
 {
-    if (ask->session.len > 0) {
-        return SlHash_Bytes(1, ask->session);
-    }
-    if (ask->part_count > 0) {
-        return SlHash_Mix(ask->parts[ask->part_count - 1].id);
+    return ask->session.len > 0 ? SlHash_Bytes(1, ask->session) : 0;
+}
+
+/* Requests whose prompts begin alike give the same number; 0: no prompt. The
+ * last part is the request's own, so it does not count. */
+static uint64_t
+subject_of(const struct sl_ask *ask)
+{
+    if (ask->part_count == 0) {
+        return 0;
     }
-    return 0;
+    size_t shared = ask->part_count > 1 ? ask->part_count - 2 : 0;
+    return SlHash_Mix(ask->parts[shared].id);
 }
 
 static bool
@@ -275,6 +281,7 @@
     flight->service = service;
     flight->team = team;
     flight->session = session;
+    flight->subject = subject_of(ask);
     keep_ask(flight, ask);
     flight->arrived_us = router->now_us;
     flight->deadline_us = deadline_of(router, ask, route);
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -11,7 +11,7 @@
 #define Sl_FULL_LOAD_US (400 * Sl_US_PER_MS)
 /* Reading a part again costs more than its time: memory that others hold. */
 #define Sl_READ_AGAIN_US_PER_TOKEN 20
-/* Spreads sessions that no upstream holds yet, the same way at each router. */
+/* Spreads prompts that no upstream holds yet, the same way at each router. */
 #define Sl_NOT_HOME_US (100 * Sl_US_PER_MS)
 /* An upstream that this request was at before is the last choice. */
 #define Sl_TRIED_US (60 * Sl_US_PER_S)
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -177,9 +177,10 @@
     int64_t deadline_us; /* the caller leaves, or the route's time is over */
     int64_t priority;
     uint64_t session;
-    size_t model;  /* index in the route's models */
-    int64_t runs;  /* attempts that ran or may have run */
-    int64_t tries; /* attempts that were sent or tried */
+    uint64_t subject; /* what its prompt begins with */
+    size_t model;     /* index in the route's models */
+    int64_t runs;     /* attempts that ran or may have run */
+    int64_t tries;    /* attempts that were sent or tried */
     bool may_repeat;
     int64_t last_event; /* the newest one the caller has; -1: none */
     size_t tried_count;
