--- a/lib/net/sl_net.h
+++ b/lib/net/sl_net.h
@@ -109,6 +109,8 @@
 void SlServer_Drain(struct sl_server *server);
 /* Closes the listener; connections stay. */
 void SlServer_StopAccepting(struct sl_server *server);
+/* Closes connections on which no request has begun. */
+void SlServer_CloseIdle(struct sl_server *server);
 /* Connections that wait for an answer; those that are open in all. */
 size_t SlServer_Active(const struct sl_server *server);
 size_t SlServer_Open(const struct sl_server *server);
--- a/lib/net/sl_server.c
+++ b/lib/net/sl_server.c
@@ -331,22 +331,38 @@
     }
 }
 
-static void
-on_sweep(evutil_socket_t fd, short what, void *context)
+static bool
+is_idle(const struct sl_conn *conn, int64_t now)
+{
+    (void)now;
+    return conn->state == Sl_CONN_READING && !conn->reader.started;
+}
+
+/* Connections for which `test` holds; free with g_ptr_array_free(). */
+static GPtrArray *
+collect(const struct sl_server *server,
+        bool (*test)(const struct sl_conn *conn, int64_t now))
 {
-    struct sl_server *server = context;
     int64_t now = now_us();
-    GPtrArray *overdue = g_ptr_array_new();
+    GPtrArray *found = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
-    (void)fd;
-    (void)what;
     g_hash_table_iter_init(&iter, server->conns);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (is_overdue(value, now)) {
-            g_ptr_array_add(overdue, value);
+        if (test(value, now)) {
+            g_ptr_array_add(found, value);
         }
     }
+    return found;
+}
+
+static void
+on_sweep(evutil_socket_t fd, short what, void *context)
+{
+    struct sl_server *server = context;
+    GPtrArray *overdue = collect(server, is_overdue);
+    (void)fd;
+    (void)what;
     for (guint i = 0; i < overdue->len; i++) {
         struct sl_conn *conn = overdue->pdata[i];
         if (conn->state == Sl_CONN_READING && conn->reader.started) {
@@ -554,6 +570,16 @@
     }
 }
 
+void
+SlServer_CloseIdle(struct sl_server *server)
+{
+    GPtrArray *idle = collect(server, is_idle);
+    for (guint i = 0; i < idle->len; i++) {
+        drop(idle->pdata[i]);
+    }
+    g_ptr_array_free(idle, TRUE);
+}
+
 size_t
 SlServer_Active(const struct sl_server *server)
 {
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -202,6 +202,11 @@
       const struct sl_team **team)
 {
     *team = NULL;
+    if (router->stopped_accepting) {
+        refuse_ask(router, ask, 503, "drain", "the process is leaving",
+                   Sl_RETRY_AFTER_US);
+        return NULL;
+    }
     if (router->routing == NULL) {
         refuse_ask(router, ask, 503, "configuration",
                    "no configuration is known yet", Sl_RETRY_AFTER_START_US);
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -28,6 +28,10 @@
 #define Sl_LOG_BUFFER_BYTES ((size_t)1024 * 1024)
 #define Sl_LOG_FLUSH_US (200 * Sl_US_PER_MS)
 #define Sl_LOG_FLUSH_FILL 0.02
+/* Time for callers to take the last answers when the process leaves; a part
+ * of what the reducer leaves of the grace time. */
+#define Sl_LAST_WRITES_US (300 * Sl_US_PER_MS)
+#define Sl_LEAVE_CHECK_US (20 * Sl_US_PER_MS)
 /* The balancer's checks: short requests on a few connections. */
 static const struct sl_server_limits ready_limits = {
     .max_header_bytes = 8192,
@@ -71,6 +75,7 @@
     struct sl_buf relay;
     struct sl_buf line;
     bool busy; /* an event is in hand */
+    int64_t leave_by_us;
 };
 
 /* ---- time ---- */
@@ -454,6 +459,27 @@
     return true;
 }
 
+/* ---- end ---- */
+
+/* Leaves when the last answers were taken by their callers. */
+static void
+on_leaving(evutil_socket_t fd, short what, void *context)
+{
+    static const struct timeval soon = {0, Sl_LEAVE_CHECK_US};
+    struct sl_router_shell *shell = context;
+    (void)fd;
+    (void)what;
+    SlServer_CloseIdle(shell->callers);
+    if (SlServer_Open(shell->callers) == 0 ||
+        steady_us() >= shell->leave_by_us) {
+        event_base_loopexit(shell->base, NULL);
+    }
+    else {
+        event_base_once(shell->base, -1, EV_TIMEOUT, on_leaving, shell,
+                        &soon);
+    }
+}
+
 /* ---- effects ---- */
 
 static void
@@ -520,9 +546,11 @@
         break;
     case Sl_RFX_STOP_ACCEPTING:
         SlServer_StopAccepting(shell->callers);
+        SlServer_CloseIdle(shell->callers);
         break;
     case Sl_RFX_EXIT:
-        event_base_loopexit(shell->base, NULL);
+        shell->leave_by_us = steady_us() + Sl_LAST_WRITES_US;
+        on_leaving(-1, 0, shell);
         break;
     default:
         g_assert_not_reached();
