Feeds notice a silent store; a cold upstream's allowance is split

Cause of CONFIG: a read that waited 20 s at the store hung through an outage and beyond, so a configuration was 4 s late after the store's return. Cause of FAILBACK: routers did not count cold requests, and one that came back while the store was away was taken for warm. Ruled out: the store's delay (its acknowledgement came 2.2 s before).

--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -255,7 +255,8 @@
     }
     if (is_success(head) || (!is_garbled(head) && head->status < 500 &&
                              flight->state != Sl_FLIGHT_PASSING)) {
-        SlUpstreams_OnGood(router, flight->exchange.upstream);
+        SlUpstreams_OnGood(router, flight->exchange.upstream,
+                           flight->service->cold_start_us);
         SlCalls_Detach(router, flight);
         finish(router, flight);
         return;
--- /dev/null
+++ b/lib/router/sl_cold.c
@@ -0,0 +1,58 @@
+/*
+ * How much of a cold upstream's allowance one router may use. Answers the
+ * load of upstreams that start, or come back, while callers wait: all routers
+ * together must stay within the rate that the upstream bears, and none of
+ * them asks another.
+ *
+ * The allowance is split evenly among the routers that are believed to live.
+ * Where that gives less than one request a second to each, only as many
+ * routers as there are requests a second take part, chosen by hash of the
+ * upstream; so no second holds one request of each of a large fleet. When the
+ * belief is wrong by half, the sum is twice the rate for as long as that
+ * lasts; the deployment's bounds leave that room.
+ */
+#include "sl_router_internal.h"
+
+#include <math.h>
+
+int64_t
+SlCold_GapUs(double per_s, size_t fleet, size_t rank)
+{
+    assert(per_s > 0 && fleet > 0);
+    size_t sharers = (size_t)MAX(floor(per_s), 1);
+    if (fleet <= sharers) {
+        sharers = fleet;
+    }
+    else if (rank >= sharers) {
+        return Sl_NEVER_US;
+    }
+    return (int64_t)((double)sharers / per_s * (double)Sl_US_PER_S);
+}
+
+bool
+SlCold_IsCold(const struct sl_router *router,
+              const struct sl_upstream *upstream,
+              const struct sl_route_service *service)
+{
+    return service->cold_per_s > 0 &&
+           upstream->cold_until_us > router->now_us;
+}
+
+int64_t
+SlCold_NextUs(const struct sl_router *router,
+              const struct sl_upstream *upstream,
+              const struct sl_route_service *service)
+{
+    if (!SlCold_IsCold(router, upstream, service)) {
+        return router->now_us;
+    }
+    int64_t gap = SlCold_GapUs(
+        service->cold_per_s, SlPeers_FleetSize(router),
+        SlPeers_Rank(router, SlName_Str(&upstream->reg.id)));
+    if (gap == Sl_NEVER_US) {
+        return upstream->cold_until_us;
+    }
+    return upstream->cold_sent_us == 0
+               ? router->now_us
+               : MAX(upstream->cold_sent_us + gap, router->now_us);
+}
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -8,22 +8,25 @@
  */
 #include "sl_router_internal.h"
 
-/* Time that a read waits at the store when there is nothing new. */
-#define Sl_READ_WAIT_US (20 * Sl_US_PER_S)
 /* Pause after a failed read. */
-#define Sl_READ_RETRY_US (300 * Sl_US_PER_MS)
+#define Sl_READ_RETRY_US (200 * Sl_US_PER_MS)
 
 /* What the feeds are read for, and how often. The pause bounds the number of
- * reads of a topic that changes all the time; it adds to the age of news. */
+ * reads of a topic that changes all the time; it adds to the age of news.
+ * Registrations change all the time, so a read of them that stays without an
+ * answer is the first sign that the store is away; the others wait longer. */
 static const struct sl_feed_rule {
     const char *name;
     int64_t pause_us; /* between the end of a read and the next */
+    int64_t wait_us;  /* at the store, for news */
     bool follow;      /* read on behind the snapshot */
 } rules[Sl_FEED_COUNT] = {
-    [Sl_FEED_OPERATORS] = {"operators", 150 * Sl_US_PER_MS, true},
-    [Sl_FEED_UPSTREAMS] = {"upstreams", 700 * Sl_US_PER_MS, true},
-    [Sl_FEED_STATUS] = {"status", 150 * Sl_US_PER_MS, true},
-    [Sl_FEED_MEMBERS] = {"members", Sl_US_PER_S, false},
+    [Sl_FEED_OPERATORS] = {"operators", 150 * Sl_US_PER_MS, 5 * Sl_US_PER_S,
+                           true},
+    [Sl_FEED_UPSTREAMS] = {"upstreams", 700 * Sl_US_PER_MS, Sl_US_PER_S,
+                           true},
+    [Sl_FEED_STATUS] = {"status", 150 * Sl_US_PER_MS, 10 * Sl_US_PER_S, true},
+    [Sl_FEED_MEMBERS] = {"members", Sl_US_PER_S, Sl_US_PER_S, false},
 };
 
 const char *
@@ -44,7 +47,7 @@
     state->reading = true;
     effect->u.read.feed = feed;
     effect->u.read.from = state->next;
-    effect->u.read.wait_us = Sl_READ_WAIT_US;
+    effect->u.read.wait_us = rules[feed].wait_us;
 }
 
 static void
@@ -215,6 +218,21 @@
     read_after(router, feed, Sl_READ_RETRY_US);
 }
 
+/* Reads that were under way while the store was away may never be answered:
+ * they are given up and asked anew. */
+static void
+read_others_anew(struct sl_router *router, enum sl_feed back)
+{
+    for (int i = 0; i < Sl_FEED_COUNT; i++) {
+        enum sl_feed feed = (enum sl_feed)i;
+        if (feed != back && router->feeds[feed].reading) {
+            SlOutbox_Add(router, Sl_RFX_READ_CANCEL)->u.read.feed = feed;
+            router->feeds[feed].reading = false;
+            read_feed(router, feed);
+        }
+    }
+}
+
 static void
 on_back(struct sl_router *router, enum sl_feed feed)
 {
@@ -227,6 +245,7 @@
         SlLine_End(router, Sl_LOG_INFO);
         state->fail_since_us = 0;
         router->store_back_us = router->now_us;
+        read_others_anew(router, feed);
     }
 }
 
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -57,12 +57,11 @@
 
 /* Earliest time at which the upstream could take one more request. */
 static int64_t
-free_at(const struct sl_router *router, const struct sl_upstream *upstream)
+free_at(const struct sl_router *router, const struct sl_flight *flight,
+        const struct sl_upstream *upstream)
 {
-    int64_t at = MAX(upstream->shun_until_us, router->now_us);
-    if (upstream->cold_until_us > router->now_us) {
-        at = MAX(at, upstream->cold_next_us);
-    }
+    int64_t at = SlCold_NextUs(router, upstream, flight->service);
+    at = MAX(at, upstream->shun_until_us);
     if (SlUpstreams_Load(upstream) >= slots_of(upstream)) {
         return Sl_NEVER_US; /* when one of its requests ends */
     }
@@ -120,7 +119,7 @@
         if (!serves(router, flight, upstream, rule)) {
             continue;
         }
-        int64_t at = free_at(router, upstream);
+        int64_t at = free_at(router, flight, upstream);
         if (at > router->now_us) {
             if (at != Sl_NEVER_US) {
                 *wait_us = MIN(*wait_us, at - router->now_us);
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -261,6 +261,7 @@
     Sl_RFX_LIMITS,      /* u.limits: of callers */
     Sl_RFX_READ_NEWEST, /* u.read: all keys; answer: FEED */
     Sl_RFX_READ_ON,     /* u.read: records from `from`; answer: FEED */
+    Sl_RFX_READ_CANCEL, /* u.read.feed: no answer to its read any more */
     Sl_RFX_APPEND,      /* u.append; answer: APPENDED */
     Sl_RFX_GOSSIP,      /* u.gossip: a digest to several peers */
     Sl_RFX_LOG,         /* u.line */
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -10,6 +10,7 @@
  * sl_calls.c      sending to upstreams
  * sl_placement.c  which upstream a flight goes to
  * sl_rollouts.c   moving a service's traffic to a version
+ * sl_cold.c       how much of a cold upstream's allowance is ours
  * sl_peers.c      the other routers
  * sl_upstreams.c  what is believed of upstreams
  * sl_pace.c       how fast models read prompts
@@ -37,7 +38,8 @@
     int64_t lapse_us;      /* its entry went while the store was away: it is
                               gone at this time unless it is back; else 0 */
     int64_t cold_until_us; /* 0: warm */
-    int64_t cold_next_us;  /* earliest next request while cold */
+    int64_t cold_sent_us;  /* newest request while cold; 0: none */
+    bool was_lost;         /* it failed since it was last heard of */
     int64_t shun_until_us; /* after failures */
     unsigned failures;     /* in a row */
     int64_t in_flight;     /* own */
@@ -287,9 +289,10 @@
                          struct sl_exchange *exchange);
 void SlUpstreams_OnLoad(struct sl_router *router, struct sl_upstream *upstream,
                         const struct sl_answer_head *head);
-/* An answer came. */
-void SlUpstreams_OnGood(struct sl_router *router,
-                        struct sl_upstream *upstream);
+/* An answer came. An upstream that had failed may have started anew: it
+ * counts as cold until it is heard of, or for `cold_start_us`. */
+void SlUpstreams_OnGood(struct sl_router *router, struct sl_upstream *upstream,
+                        int64_t cold_start_us);
 /* It could not be reached, or broke off: it is shunned for a while. */
 void SlUpstreams_OnFailure(struct sl_router *router,
                            struct sl_upstream *upstream);
@@ -313,6 +316,19 @@
 /* Forgets parts that were not used for long. */
 void SlUpstreams_Sweep(struct sl_router *router);
 
+/* ---- cold upstreams ---- */
+
+/* Pause between the requests of one router to a cold upstream that bears
+ * `per_s` in all; Sl_NEVER_US when this router takes no part. */
+int64_t SlCold_GapUs(double per_s, size_t fleet, size_t rank);
+bool SlCold_IsCold(const struct sl_router *router,
+                   const struct sl_upstream *upstream,
+                   const struct sl_route_service *service);
+/* Earliest time of the next request to the upstream, now or later. */
+int64_t SlCold_NextUs(const struct sl_router *router,
+                      const struct sl_upstream *upstream,
+                      const struct sl_route_service *service);
+
 /* ---- pace ---- */
 
 /* Guess of the time from sending to the head of the answer. */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -89,6 +89,7 @@
     upstream->offset = offset;
     upstream->heard_us = router->now_us;
     upstream->listed = true;
+    upstream->was_lost = false;
     upstream->lapse_us = 0;
     upstream->cold_until_us =
         reg->cold_us > 0 ? router->now_us + reg->cold_us : 0;
@@ -263,6 +264,9 @@
     struct sl_exchange *exchange = &flight->exchange;
     struct sl_name model = {0};
     exchange->was_idle = SlUpstreams_Unread(router, upstream) == 0;
+    if (SlCold_IsCold(router, upstream, flight->service)) {
+        upstream->cold_sent_us = router->now_us;
+    }
     upstream->in_flight++;
     upstream->sent_since++;
     router->loads_changed = true;
@@ -327,10 +331,15 @@
 /* ---- failures ---- */
 
 void
-SlUpstreams_OnGood(struct sl_router *router, struct sl_upstream *upstream)
+SlUpstreams_OnGood(struct sl_router *router, struct sl_upstream *upstream,
+                   int64_t cold_start_us)
 {
-    (void)router;
     upstream->failures = 0;
+    if (upstream->was_lost) {
+        upstream->was_lost = false;
+        upstream->cold_until_us =
+            MAX(upstream->cold_until_us, router->now_us + cold_start_us);
+    }
 }
 
 static void
@@ -349,6 +358,7 @@
         pause *= 2;
     }
     upstream->failures++;
+    upstream->was_lost = true;
     shun(router, upstream, MIN(pause, Sl_SHUN_MAX_US));
     SlLine_Begin(router, "upstream_suspected");
     SlLine_Name(router, "upstream", &upstream->reg.id);
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -529,6 +529,9 @@
         SlStore_ReadOn(shell->store, effect->u.read.feed, effect->u.read.from,
                        effect->u.read.wait_us);
         break;
+    case Sl_RFX_READ_CANCEL:
+        SlStore_CancelReads(shell->store, effect->u.read.feed);
+        break;
     case Sl_RFX_APPEND:
         SlStore_Append(shell->store, effect->u.append.feed,
                        effect->u.append.token, &effect->u.append.record,
