--- a/lib/net/sl_server.c
+++ b/lib/net/sl_server.c
@@ -136,7 +136,7 @@
 end_answer(struct sl_conn *conn)
 {
     conn->begun = false;
-    if (!conn->keep_alive) {
+    if (!conn->keep_alive || conn->server->draining) {
         close_when_written(conn);
         return;
     }
@@ -335,7 +335,8 @@
 is_idle(const struct sl_conn *conn, int64_t now)
 {
     (void)now;
-    return conn->state == Sl_CONN_READING && !conn->reader.started;
+    return conn->state == Sl_CONN_READING && !conn->reader.started &&
+           evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
 }
 
 /* Connections for which `test` holds; free with g_ptr_array_free(). */
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -40,6 +40,7 @@
     int64_t cold_until_us; /* 0: warm */
     int64_t cold_sent_us;  /* newest request while cold; 0: none */
     bool was_lost;         /* it failed since it was last heard of */
+    int64_t lost_us;       /* when it failed last */
     int64_t shun_until_us; /* after failures */
     unsigned failures;     /* in a row */
     int64_t in_flight;     /* own */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -9,6 +9,9 @@
 #define Sl_SHUN_MAX_US (2 * Sl_US_PER_S)
 /* Pause after a refusal that names none. */
 #define Sl_REFUSED_PAUSE_US (100 * Sl_US_PER_MS)
+/* Age that a registration may have when it is read, beside the pause between
+ * two of them. */
+#define Sl_NEWS_AGE_US Sl_US_PER_S
 /* A prompt that takes longer to read than guessed still takes this share. */
 #define Sl_LATE_SHARE 0.3
 /* Upstreams drop parts that are used least; this is about when. */
@@ -89,7 +92,11 @@
     upstream->offset = offset;
     upstream->heard_us = router->now_us;
     upstream->listed = true;
-    upstream->was_lost = false;
+    /* A registration from before the failure proves nothing. */
+    if (router->now_us - upstream->lost_us >
+        router->options.bounds.heartbeat_us + Sl_NEWS_AGE_US) {
+        upstream->was_lost = false;
+    }
     upstream->lapse_us = 0;
     upstream->cold_until_us =
         reg->cold_us > 0 ? router->now_us + reg->cold_us : 0;
@@ -359,6 +366,7 @@
     }
     upstream->failures++;
     upstream->was_lost = true;
+    upstream->lost_us = router->now_us;
     shun(router, upstream, MIN(pause, Sl_SHUN_MAX_US));
     SlLine_Begin(router, "upstream_suspected");
     SlLine_Name(router, "upstream", &upstream->reg.id);
