--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -44,7 +44,7 @@
     digest->domain = router->options.domain;
     digest->address = router->options.peer_address;
     digest->boot = router->options.boot;
-    digest->sequence++;
+    digest->sequence = ++router->digest_sequence;
     digest->leaving = router->draining;
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = router->feeds[i].next;
@@ -72,26 +72,31 @@
 static void
 tell_peers(struct sl_router *router, bool only_domain)
 {
+    guint peers = g_hash_table_size(router->peers);
+    const struct sl_name **addresses =
+        g_new0(const struct sl_name *, peers + 1);
+    struct sl_gossip *digest = g_new0(struct sl_gossip, 1);
+    size_t count = 0;
     GHashTableIter iter;
     gpointer value;
-    g_ptr_array_set_size(router->addresses, 0);
+    SlOutbox_Keep(router, addresses);
+    SlOutbox_Keep(router, digest);
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_router_peer *peer = value;
         if (is_due(router, peer, only_domain)) {
-            g_ptr_array_add(router->addresses, &peer->address);
+            addresses[count++] = &peer->address;
             peer->sent_us = router->now_us;
         }
     }
-    if (router->addresses->len == 0) {
+    if (count == 0) {
         return;
     }
-    fill_digest(router, &router->digest);
+    fill_digest(router, digest);
     struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_GOSSIP);
-    effect->u.gossip.digest = &router->digest;
-    effect->u.gossip.count = router->addresses->len;
-    effect->u.gossip.addresses =
-        (const struct sl_name *const *)router->addresses->pdata;
+    effect->u.gossip.digest = digest;
+    effect->u.gossip.count = count;
+    effect->u.gossip.addresses = addresses;
 }
 
 static void
--- a/lib/router/sl_outbox.c
+++ b/lib/router/sl_outbox.c
@@ -5,7 +5,7 @@
 
 struct sl_router_effects {
     GArray *list;     /* struct sl_router_effect */
-    GPtrArray *texts; /* of log lines, owned */
+    GPtrArray *kept; /* memory that effects point to, owned */
 };
 
 struct sl_router_effects *
@@ -13,7 +13,7 @@
 {
     struct sl_router_effects *effects = g_new0(struct sl_router_effects, 1);
     effects->list = g_array_new(FALSE, TRUE, sizeof(struct sl_router_effect));
-    effects->texts = g_ptr_array_new_with_free_func(g_free);
+    effects->kept = g_ptr_array_new_with_free_func(g_free);
     return effects;
 }
 
@@ -22,7 +22,7 @@
 {
     if (effects != NULL) {
         g_array_free(effects->list, TRUE);
-        g_ptr_array_free(effects->texts, TRUE);
+        g_ptr_array_free(effects->kept, TRUE);
         g_free(effects);
     }
 }
@@ -31,7 +31,7 @@
 SlRouterEffects_Clear(struct sl_router_effects *effects)
 {
     g_array_set_size(effects->list, 0);
-    g_ptr_array_set_size(effects->texts, 0);
+    g_ptr_array_set_size(effects->kept, 0);
 }
 
 size_t
@@ -58,9 +58,15 @@
 }
 
 void
-SlRouter_FreeLater(struct sl_router *router, gpointer memory)
+SlOutbox_Keep(struct sl_router *router, gpointer memory)
 {
-    g_ptr_array_add(router->garbage, memory);
+    g_ptr_array_add(router->fx->kept, memory);
+}
+
+void
+SlRouter_FreeLater(struct sl_router *router, struct sl_flight *flight)
+{
+    g_ptr_array_add(router->garbage, flight);
 }
 
 void
@@ -127,5 +133,5 @@
     struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_LOG);
     effect->u.line.level = level;
     effect->u.line.fields = (struct sl_str){text, router->line.len};
-    g_ptr_array_add(router->fx->texts, text);
+    SlOutbox_Keep(router, text);
 }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -62,7 +62,7 @@
 {
     int64_t at = SlCold_NextUs(router, upstream, flight->service);
     at = MAX(at, upstream->shun_until_us);
-    if (SlUpstreams_Load(upstream) >= slots_of(upstream)) {
+    if (SlUpstreams_Load(router, upstream) >= slots_of(upstream)) {
         return Sl_NEVER_US; /* when one of its requests ends */
     }
     return at;
@@ -78,7 +78,7 @@
     int64_t target =
         route->target_us > 0 ? route->target_us : Sl_DEFAULT_TARGET_US;
     int64_t cost =
-        Sl_FULL_LOAD_US * SlUpstreams_Load(upstream) / slots_of(upstream);
+        Sl_FULL_LOAD_US * SlUpstreams_Load(router, upstream) / slots_of(upstream);
     if (flight->service->is_engine) {
         struct sl_name model = {0};
         int64_t uncached = SlUpstreams_Uncached(flight, upstream);
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -40,7 +40,6 @@
                                              SlName_TableEqual, NULL, g_free);
     router->peers = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
                                           NULL, g_free);
-    router->addresses = g_ptr_array_new();
     router->started_us = options->now_us;
     router->garbage = g_ptr_array_new_with_free_func(free_garbage);
     return router;
@@ -53,7 +52,6 @@
         return;
     }
     g_queue_free(router->queue);
-    g_ptr_array_free(router->addresses, TRUE);
     g_hash_table_destroy(router->peers);
     g_hash_table_destroy(router->statuses);
     g_hash_table_destroy(router->rollouts);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -235,8 +235,7 @@
     GHashTable *statuses;  /* service name -> struct sl_rollout_status */
     bool loads_changed;    /* peers of the failure domain are told soon */
     uint64_t gossip_timer; /* to peers of the own failure domain, soon */
-    struct sl_gossip digest;
-    GPtrArray *addresses;  /* struct sl_name, of the digest's receivers */
+    uint64_t digest_sequence;
     GHashTable *flights;   /* conn -> struct sl_flight, owned */
     GHashTable *by_token;  /* call token -> struct sl_flight */
     GQueue *queue;         /* waiting flights, most urgent first */
@@ -255,6 +254,8 @@
 
 struct sl_router_effect *SlOutbox_Add(struct sl_router *router,
                                       enum sl_router_effect_type type);
+/* Memory that an effect points to: freed with the effects. */
+void SlOutbox_Keep(struct sl_router *router, gpointer memory);
 /* A log line: begin, add members, end. `level` decides whether it shows. */
 void SlLine_Begin(struct sl_router *router, const char *event);
 void SlLine_Str(struct sl_router *router, const char *key,
@@ -266,8 +267,8 @@
 void SlLine_Error(struct sl_router *router, const struct sl_error *err);
 void SlLine_End(struct sl_router *router, enum sl_log_level level);
 void SlRouter_Count(struct sl_router *router, const char *counter);
-/* Frees at the next event. */
-void SlRouter_FreeLater(struct sl_router *router, gpointer memory);
+/* Frees a flight at the next event: effects of this one point into it. */
+void SlRouter_FreeLater(struct sl_router *router, struct sl_flight *flight);
 
 /* ---- upstreams ---- */
 
@@ -301,7 +302,9 @@
 void SlUpstreams_OnRefused(struct sl_router *router,
                            struct sl_upstream *upstream,
                            int64_t retry_after_us);
-int64_t SlUpstreams_Load(const struct sl_upstream *upstream);
+/* Requests that run or wait there, as far as is known. */
+int64_t SlUpstreams_Load(const struct sl_router *router,
+                         const struct sl_upstream *upstream);
 
 /* Own prompts that wait to be read there, and peers', as time. */
 int64_t SlUpstreams_OwnUnread(const struct sl_router *router,
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -9,6 +9,9 @@
 #define Sl_SHUN_MAX_US (2 * Sl_US_PER_S)
 /* Pause after a refusal that names none. */
 #define Sl_REFUSED_PAUSE_US (100 * Sl_US_PER_MS)
+/* What an upstream told of its load is believed for so long: it says nothing
+ * of later, and while it is thought full no answer brings news. */
+#define Sl_TOLD_LIFE_US (500 * Sl_US_PER_MS)
 /* Age that a registration may have when it is read, beside the pause between
  * two of them. */
 #define Sl_NEWS_AGE_US Sl_US_PER_S
@@ -180,10 +183,14 @@
 /* ---- load ---- */
 
 int64_t
-SlUpstreams_Load(const struct sl_upstream *upstream)
+SlUpstreams_Load(const struct sl_router *router,
+                 const struct sl_upstream *upstream)
 {
-    int64_t told = upstream->told_load + upstream->sent_since;
-    return MAX(told, upstream->in_flight + upstream->peers_in_flight);
+    int64_t known = upstream->in_flight + upstream->peers_in_flight;
+    if (router->now_us - upstream->told_us > Sl_TOLD_LIFE_US) {
+        return known;
+    }
+    return MAX(upstream->told_load + upstream->sent_since, known);
 }
 
 int64_t
