Routers hand each other records that the store withholds

Digests say how far a router has read; one that is behind reads again, or pulls the records from a peer while the store refuses it. Ruled out: the router's own order of reads (its cursor was right).

--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -9,6 +9,8 @@
  * Sections:
  *   1. Digest   what a datagram says
  *   2. Codec    to bytes and back
+ *   3. Pages    records of the store that one router hands to another, for
+ *               when the store refuses some of them; over a connection
  */
 #ifndef Sl_GOSSIP_H
 #define Sl_GOSSIP_H
@@ -77,4 +79,29 @@
 enum sl_errno SlGossip_Decode(struct sl_str bytes, struct sl_gossip *digest,
                               struct sl_error *err);
 
+/* ---- 3. Pages --------------------------------------------------------- */
+
+/* The newest record of a key, as stored. */
+struct sl_page_record {
+    uint64_t offset;
+    struct sl_str key;
+    struct sl_str value; /* empty: the key was dropped */
+};
+
+struct sl_page {
+    uint64_t end; /* offset of the next record */
+    size_t count;
+    const struct sl_page_record *records;
+};
+
+void SlPage_Encode(const struct sl_page *page, struct sl_buf *out);
+
+struct sl_page_reader;
+
+/* Decodes a page; NULL with the reason in `err`. The page's views point into
+ * `bytes` and are valid until the reader is freed. */
+struct sl_page_reader *SlPage_Decode(struct sl_str bytes, struct sl_page *page,
+                                     struct sl_error *err);
+void SlPage_Free(struct sl_page_reader *reader);
+
 #endif
--- a/lib/router/sl_cold.c
+++ b/lib/router/sl_cold.c
@@ -34,8 +34,7 @@
               const struct sl_upstream *upstream,
               const struct sl_route_service *service)
 {
-    return service->cold_per_s > 0 &&
-           upstream->cold_until_us > router->now_us;
+    return service->cold_per_s > 0 && upstream->cold_until_us > router->now_us;
 }
 
 int64_t
@@ -46,9 +45,9 @@
     if (!SlCold_IsCold(router, upstream, service)) {
         return router->now_us;
     }
-    int64_t gap = SlCold_GapUs(
-        service->cold_per_s, SlPeers_FleetSize(router),
-        SlPeers_Rank(router, SlName_Str(&upstream->reg.id)));
+    int64_t gap =
+        SlCold_GapUs(service->cold_per_s, SlPeers_FleetSize(router),
+                     SlPeers_Rank(router, SlName_Str(&upstream->reg.id)));
     if (gap == Sl_NEVER_US) {
         return upstream->cold_until_us;
     }
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -143,6 +143,7 @@
     if (!SlPeers_Take(router, digest)) {
         return;
     }
+    SlFeeds_OnDigest(router, digest);
     for (size_t i = 0; i < digest->rollout_count; i++) {
         SlRollouts_OnGossip(router, &digest->rollouts[i]);
     }
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -5,12 +5,24 @@
  * with the records behind it. Reads wait at the store for news. When the
  * store no longer has the next record, the feed starts anew. Offsets order
  * everything: a record that is older than what is known changes nothing.
+ *
+ * The store may refuse one router while it serves the others, and a read that
+ * waits may miss the news. Peers say how far they have read: one that is
+ * behind them reads again at once, or, while the store refuses it, takes the
+ * records from a peer.
  */
 #include "sl_router_internal.h"
 
 /* Pause after a failed read. */
 #define Sl_READ_RETRY_US (200 * Sl_US_PER_MS)
 
+/* Pause between pulls from peers. */
+#define Sl_PULL_PAUSE_US (300 * Sl_US_PER_MS)
+/* News reach routers at times that differ by less than this. */
+#define Sl_BEHIND_US (200 * Sl_US_PER_MS)
+/* A router without live peers hears of missed news from nobody. */
+#define Sl_LONE_WAIT_US Sl_US_PER_S
+
 /* What the feeds are read for, and how often. The pause bounds the number of
  * reads of a topic that changes all the time; it adds to the age of news.
  * Registrations change all the time, so a read of them that stays without an
@@ -23,8 +35,7 @@
 } rules[Sl_FEED_COUNT] = {
     [Sl_FEED_OPERATORS] = {"operators", 150 * Sl_US_PER_MS, 5 * Sl_US_PER_S,
                            true},
-    [Sl_FEED_UPSTREAMS] = {"upstreams", 700 * Sl_US_PER_MS, Sl_US_PER_S,
-                           true},
+    [Sl_FEED_UPSTREAMS] = {"upstreams", 700 * Sl_US_PER_MS, Sl_US_PER_S, true},
     [Sl_FEED_STATUS] = {"status", 150 * Sl_US_PER_MS, 10 * Sl_US_PER_S, true},
     [Sl_FEED_MEMBERS] = {"members", Sl_US_PER_S, Sl_US_PER_S, false},
 };
@@ -47,7 +58,9 @@
     state->reading = true;
     effect->u.read.feed = feed;
     effect->u.read.from = state->next;
-    effect->u.read.wait_us = rules[feed].wait_us;
+    effect->u.read.wait_us = SlPeers_FleetSize(router) > 1
+                                 ? rules[feed].wait_us
+                                 : MIN(rules[feed].wait_us, Sl_LONE_WAIT_US);
 }
 
 static void
@@ -69,10 +82,31 @@
                            on_read_due, router, (uint64_t)feed);
 }
 
+static void
+free_kept(gpointer data)
+{
+    struct sl_kept_record *kept = data;
+    g_free(kept->key);
+    g_free(kept->value);
+    g_free(kept);
+}
+
+void
+SlFeeds_Free(struct sl_router *router)
+{
+    for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
+        if (router->feeds[feed].kept != NULL) {
+            g_hash_table_destroy(router->feeds[feed].kept);
+        }
+    }
+}
+
 void
 SlFeeds_Start(struct sl_router *router)
 {
     for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
+        router->feeds[feed].kept =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kept);
         if (rules[feed].follow) {
             read_feed(router, (enum sl_feed)feed);
         }
@@ -146,10 +180,36 @@
     }
 }
 
+/* Keeps the record for peers; false when a newer one of its key is known. */
+static bool
+keep_record(struct sl_router *router, enum sl_feed feed,
+            const struct sl_record *record)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    char *key = g_strndup(record->key.ptr, record->key.len);
+    struct sl_kept_record *kept = g_hash_table_lookup(state->kept, key);
+    if (kept != NULL && kept->offset >= record->offset) {
+        g_free(key);
+        return false;
+    }
+    kept = g_new0(struct sl_kept_record, 1);
+    kept->offset = record->offset;
+    kept->key = key;
+    kept->value_len = record->dropped ? 0 : record->value.len;
+    kept->value = record->dropped
+                      ? NULL
+                      : g_memdup2(record->value.ptr, record->value.len);
+    g_hash_table_replace(state->kept, kept->key, kept);
+    return true;
+}
+
 static void
 take_record(struct sl_router *router, enum sl_feed feed,
             const struct sl_record *record)
 {
+    if (!keep_record(router, feed, record)) {
+        return;
+    }
     switch (record->type) {
     case Sl_RECORD_BROKEN:
         log_broken(router, feed, record);
@@ -184,10 +244,9 @@
 
 /* What a snapshot does not hold is gone. */
 static void
-drop_unseen(struct sl_router *router, enum sl_feed feed,
-            const struct sl_router_event *event)
+drop_unseen(struct sl_router *router, const struct sl_router_event *event)
 {
-    if (feed != Sl_FEED_UPSTREAMS) {
+    if (event->u.feed.feed != Sl_FEED_UPSTREAMS) {
         return;
     }
     GHashTable *seen = g_hash_table_new(SlName_TableHash, SlName_TableEqual);
@@ -201,6 +260,22 @@
     g_hash_table_destroy(seen);
 }
 
+static void
+take_page(struct sl_router *router, const struct sl_router_event *event)
+{
+    enum sl_feed feed = event->u.feed.feed;
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (event->u.feed.snapshot) {
+        drop_unseen(router, event);
+    }
+    for (size_t i = 0; i < event->u.feed.count; i++) {
+        take_record(router, feed, &event->u.feed.records[i]);
+    }
+    state->synced = true;
+    state->behind_us = 0;
+    state->next = MAX(state->next, event->u.feed.end);
+}
+
 /* ---- answers ---- */
 
 static void
@@ -269,15 +344,103 @@
         read_feed(router, feed);
         return;
     }
-    if (event->u.feed.snapshot) {
-        drop_unseen(router, feed, event);
-    }
-    for (size_t i = 0; i < event->u.feed.count; i++) {
-        take_record(router, feed, &event->u.feed.records[i]);
-    }
-    state->synced = true;
-    state->next = event->u.feed.end;
+    take_page(router, event);
     if (rules[feed].follow) {
         read_after(router, feed, rules[feed].pause_us);
     }
 }
+
+/* ---- peers ---- */
+
+void
+SlFeeds_OnPull(struct sl_router *router, uint64_t conn, enum sl_feed feed,
+               uint64_t from)
+{
+    const struct sl_feed_state *state = &router->feeds[feed];
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(struct sl_page_record));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, state->kept);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_kept_record *kept = value;
+        if (kept->offset >= from) {
+            struct sl_page_record record = {
+                .offset = kept->offset,
+                .key = SlStr_FromC(kept->key),
+                .value = {kept->value, kept->value_len},
+            };
+            g_array_append_val(records, record);
+        }
+    }
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_PAGE);
+    effect->u.page.conn = conn;
+    effect->u.page.page.end = state->synced ? state->next : 0;
+    effect->u.page.page.count = records->len;
+    effect->u.page.page.records =
+        (const struct sl_page_record *)(void *)records->data;
+    SlOutbox_Keep(router, g_array_free(records, FALSE));
+}
+
+void
+SlFeeds_OnPulled(struct sl_router *router, const struct sl_router_event *event)
+{
+    struct sl_feed_state *state = &router->feeds[event->u.feed.feed];
+    state->pulling = false;
+    SlLine_Begin(router, event->err == NULL ? "pulled" : "pull_failed");
+    SlLine_C(router, "feed", SlFeed_Name(event->u.feed.feed));
+    if (event->err != NULL) {
+        SlLine_Error(router, event->err);
+    }
+    else {
+        SlLine_Int(router, "records", (int64_t)event->u.feed.count);
+        SlLine_Int(router, "end", (int64_t)event->u.feed.end);
+    }
+    SlLine_End(router, Sl_LOG_INFO);
+    if (event->err == NULL && event->u.feed.end > state->next) {
+        take_page(router, event);
+    }
+}
+
+static void
+catch_up(struct sl_router *router, enum sl_feed feed,
+         const struct sl_gossip *digest)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (state->behind_us == 0) {
+        state->behind_us = router->now_us;
+    }
+    if (router->now_us - state->behind_us < Sl_BEHIND_US) {
+        return; /* the news may be on its way here, too */
+    }
+    if (state->fail_since_us == 0) {
+        if (state->reading) {
+            /* The read that waits has missed the news. */
+            SlOutbox_Add(router, Sl_RFX_READ_CANCEL)->u.read.feed = feed;
+            state->reading = false;
+            read_feed(router, feed);
+        }
+        return;
+    }
+    if (state->pulling || router->now_us < state->pull_us) {
+        return;
+    }
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_PULL);
+    effect->u.pull.address = digest->address;
+    effect->u.pull.feed = feed;
+    effect->u.pull.from = state->synced ? state->next : 0;
+    state->pulling = true;
+    state->pull_us = router->now_us + Sl_PULL_PAUSE_US;
+}
+
+void
+SlFeeds_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
+{
+    for (int i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+        /* Registrations change all the time; a read of them is under way. */
+        bool moves =
+            i == Sl_FEED_UPSTREAMS && router->feeds[i].fail_since_us == 0;
+        if (!moves && digest->offsets[i] > router->feeds[i].next) {
+            catch_up(router, (enum sl_feed)i, digest);
+        }
+    }
+}
--- a/lib/router/sl_outbox.c
+++ b/lib/router/sl_outbox.c
@@ -4,7 +4,7 @@
 /* ---- effects ---- */
 
 struct sl_router_effects {
-    GArray *list;     /* struct sl_router_effect */
+    GArray *list;    /* struct sl_router_effect */
     GPtrArray *kept; /* memory that effects point to, owned */
 };
 
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -77,8 +77,8 @@
     const struct sl_route *route = flight->route;
     int64_t target =
         route->target_us > 0 ? route->target_us : Sl_DEFAULT_TARGET_US;
-    int64_t cost =
-        Sl_FULL_LOAD_US * SlUpstreams_Load(router, upstream) / slots_of(upstream);
+    int64_t cost = Sl_FULL_LOAD_US * SlUpstreams_Load(router, upstream) /
+                   slots_of(upstream);
     if (flight->service->is_engine) {
         struct sl_name model = {0};
         int64_t uncached = SlUpstreams_Uncached(flight, upstream);
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -51,6 +51,7 @@
     if (router == NULL) {
         return;
     }
+    SlFeeds_Free(router);
     g_queue_free(router->queue);
     g_hash_table_destroy(router->peers);
     g_hash_table_destroy(router->statuses);
@@ -197,6 +198,13 @@
             SlRollouts_OnAppended(router, event);
         }
         break;
+    case Sl_REV_PULL:
+        SlFeeds_OnPull(router, event->u.pull.conn, event->u.pull.feed,
+                       event->u.pull.from);
+        break;
+    case Sl_REV_PULLED:
+        SlFeeds_OnPulled(router, event);
+        break;
     case Sl_REV_GOSSIP:
         SlDigests_OnDigest(router, event->u.gossip);
         break;
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -214,6 +214,8 @@
     Sl_REV_FEED,        /* u.feed: answer to a read, or `err` */
     Sl_REV_APPENDED,    /* u.appended, or `err` */
     Sl_REV_GOSSIP,      /* u.gossip: a peer's digest */
+    Sl_REV_PULL,        /* u.pull: a peer asks for records */
+    Sl_REV_PULLED,      /* u.feed: a peer's answer to a pull, or `err` */
 };
 
 struct sl_router_event {
@@ -245,6 +247,11 @@
             uint64_t end;
         } appended;
         const struct sl_gossip *gossip;
+        struct {
+            uint64_t conn; /* of the peer */
+            enum sl_feed feed;
+            uint64_t from;
+        } pull;
     } u;
 };
 
@@ -264,6 +271,8 @@
     Sl_RFX_READ_CANCEL, /* u.read.feed: no answer to its read any more */
     Sl_RFX_APPEND,      /* u.append; answer: APPENDED */
     Sl_RFX_GOSSIP,      /* u.gossip: a digest to several peers */
+    Sl_RFX_PULL,        /* u.pull: ask a peer for records; answer: PULLED */
+    Sl_RFX_PAGE,        /* u.page: answer to a peer's pull */
     Sl_RFX_LOG,         /* u.line */
     Sl_RFX_CLOSE_CONNS, /* answers end with their connection from now on */
     Sl_RFX_STOP_ACCEPTING,
@@ -330,6 +339,15 @@
             size_t count;
             const struct sl_name *const *addresses;
         } gossip;
+        struct {
+            struct sl_name address;
+            enum sl_feed feed;
+            uint64_t from;
+        } pull;
+        struct {
+            uint64_t conn;
+            struct sl_page page;
+        } page;
         struct {
             enum sl_log_level level;
             struct sl_str fields; /* JSON members: "event":"sent",... */
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -195,9 +195,21 @@
 
 /* ---- feeds ---- */
 
+/* The newest record of a key, as stored; kept for peers. */
+struct sl_kept_record {
+    uint64_t offset;
+    char *key;
+    char *value; /* NULL: the key was dropped */
+    size_t value_len;
+};
+
 struct sl_feed_state {
+    GHashTable *kept; /* key -> struct sl_kept_record, owned */
     bool reading;
-    bool synced; /* a snapshot was read */
+    bool pulling;      /* from a peer */
+    int64_t pull_us;   /* earliest next pull */
+    int64_t behind_us; /* since when a peer is known to be ahead; 0: none */
+    bool synced;       /* a snapshot was read */
     uint64_t next;
     int64_t retry_us;
     int64_t fail_since_us; /* 0: the last read went well */
@@ -456,7 +468,17 @@
 /* ---- feeds ---- */
 
 void SlFeeds_Start(struct sl_router *router);
+void SlFeeds_Free(struct sl_router *router);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
+/* A peer asks for records. */
+void SlFeeds_OnPull(struct sl_router *router, uint64_t conn, enum sl_feed feed,
+                    uint64_t from);
+/* A peer has answered our pull. */
+void SlFeeds_OnPulled(struct sl_router *router,
+                      const struct sl_router_event *event);
+/* A peer tells how far it has read. */
+void SlFeeds_OnDigest(struct sl_router *router,
+                      const struct sl_gossip *digest);
 
 #endif
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -1,15 +1,9 @@
 /* The shell of `sassafrasd --role router`. */
-#include "sassafrasd_router.h"
-#include "sl_platform.h"
+#include "sassafrasd_router_internal.h"
 
-#include <errno.h>
-#include <event2/event.h>
-#include <event2/util.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -55,29 +49,6 @@
     uint64_t handle;
 };
 
-struct sl_router_shell {
-    struct sl_platform_settings settings;
-    struct event_base *base;
-    struct sl_log_sink *sink;
-    enum sl_log_level level;
-    struct sl_router *router;
-    struct sl_router_effects *effects;
-    struct sl_client *client;
-    struct sl_store *store;
-    struct sl_server *callers;
-    struct sl_server *checks;
-    struct event *timer;
-    struct event *flush;
-    int gossip_fd;
-    struct event *gossip;
-    char peer_address[Sl_NAME_MAX_BYTES + 1];
-    GHashTable *calls; /* token -> struct sl_router_call, owned */
-    struct sl_buf relay;
-    struct sl_buf line;
-    bool busy; /* an event is in hand */
-    int64_t leave_by_us;
-};
-
 /* ---- time ---- */
 
 /* Goes on while the VM is suspended: what was believed before it must look
@@ -98,9 +69,9 @@
 
 /* ---- log ---- */
 
-static void
-log_fields(struct sl_router_shell *shell, enum sl_log_level level,
-           struct sl_str fields)
+void
+SlRouterShell_Log(struct sl_router_shell *shell, enum sl_log_level level,
+                  struct sl_str fields)
 {
     static const char *const names[] = {"debug", "info", "warn", "error"};
     if (level < shell->level) {
@@ -150,8 +121,9 @@
     event_add(shell->timer, &wait);
 }
 
-static void
-dispatch(struct sl_router_shell *shell, struct sl_router_event *event)
+void
+SlRouterShell_Dispatch(struct sl_router_shell *shell,
+                       struct sl_router_event *event)
 {
     event->now_us = steady_us();
     event->wall_ms = wall_ms();
@@ -172,7 +144,7 @@
     struct sl_router_event event = {.type = Sl_REV_TICK};
     (void)fd;
     (void)what;
-    dispatch(context, &event);
+    SlRouterShell_Dispatch(context, &event);
 }
 
 static void
@@ -181,7 +153,7 @@
     struct sl_router_event event = {.type = Sl_REV_DRAIN};
     (void)fd;
     (void)what;
-    dispatch(context, &event);
+    SlRouterShell_Dispatch(context, &event);
 }
 
 static bool load_settings(struct sl_platform_settings *settings);
@@ -196,11 +168,12 @@
     (void)fd;
     (void)what;
     if (!load_settings(&settings)) {
-        log_fields(shell, Sl_LOG_ERROR, Sl_STR("\"event\":\"reload_failed\""));
+        SlRouterShell_Log(shell, Sl_LOG_ERROR,
+                          Sl_STR("\"event\":\"reload_failed\""));
         return;
     }
     event.u.bounds = settings.bounds;
-    dispatch(shell, &event);
+    SlRouterShell_Dispatch(shell, &event);
 }
 
 /* ---- callers ---- */
@@ -214,7 +187,7 @@
     SlBuf_Clear(&shell->relay);
     SlPlatform_DecodeAsk(head, body, &shell->relay, &event.u.ask);
     event.u.ask.conn = conn;
-    dispatch(shell, &event);
+    SlRouterShell_Dispatch(shell, &event);
 }
 
 static void
@@ -222,7 +195,7 @@
 {
     struct sl_router_event event = {.type = Sl_REV_CALLER_GONE};
     event.u.conn = conn;
-    dispatch(context, &event);
+    SlRouterShell_Dispatch(context, &event);
 }
 
 static void
@@ -296,7 +269,7 @@
     SlPlatform_DecodeAnswer(head, &call->shell->relay, &answer);
     event.u.answer.token = call->token;
     event.u.answer.head = &answer;
-    dispatch(call->shell, &event);
+    SlRouterShell_Dispatch(call->shell, &event);
 }
 
 static void
@@ -307,7 +280,7 @@
     (void)handle;
     event.u.answer.token = call->token;
     event.u.answer.bytes = bytes;
-    dispatch(call->shell, &event);
+    SlRouterShell_Dispatch(call->shell, &event);
 }
 
 static void
@@ -321,7 +294,7 @@
     event.u.answer.token = call->token;
     event.u.answer.connected = end->connected;
     g_hash_table_remove(shell->calls, &call->token);
-    dispatch(shell, &event);
+    SlRouterShell_Dispatch(shell, &event);
 }
 
 static void
@@ -376,7 +349,7 @@
         event.u.feed.count = page->count;
         event.u.feed.records = page->records;
     }
-    dispatch(context, &event);
+    SlRouterShell_Dispatch(context, &event);
 }
 
 static void
@@ -387,76 +360,7 @@
     event.u.appended.token = token;
     event.u.appended.conflict = conflict;
     event.u.appended.end = end;
-    dispatch(context, &event);
-}
-
-/* ---- peers ---- */
-
-static void
-on_datagram(evutil_socket_t fd, short what, void *context)
-{
-    struct sl_router_shell *shell = context;
-    char bytes[Sl_GOSSIP_MAX_BYTES];
-    struct sl_error err;
-    ssize_t len;
-    (void)what;
-    while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
-        struct sl_gossip digest;
-        struct sl_router_event event = {.type = Sl_REV_GOSSIP};
-        if (SlGossip_Decode((struct sl_str){bytes, (size_t)len}, &digest,
-                            &err) != Sl_OK) {
-            log_fields(shell, Sl_LOG_WARN,
-                       Sl_STR("\"event\":\"digest_unreadable\""));
-            continue;
-        }
-        event.u.gossip = &digest;
-        dispatch(shell, &event);
-    }
-}
-
-static void
-send_digest(struct sl_router_shell *shell,
-            const struct sl_router_effect *effect)
-{
-    struct sl_buf bytes = {0};
-    SlGossip_Encode(effect->u.gossip.digest, &bytes);
-    for (size_t i = 0; i < effect->u.gossip.count; i++) {
-        struct sockaddr_in address;
-        int len = sizeof(address);
-        if (evutil_parse_sockaddr_port(effect->u.gossip.addresses[i]->text,
-                                       (struct sockaddr *)&address,
-                                       &len) == 0) {
-            /* A digest that is lost is made good by the next. */
-            (void)sendto(shell->gossip_fd, bytes.ptr, bytes.len, 0,
-                         (struct sockaddr *)&address, (socklen_t)len);
-        }
-    }
-    SlBuf_Free(&bytes);
-}
-
-static bool
-open_gossip(struct sl_router_shell *shell, struct sl_error *err)
-{
-    struct sockaddr_in address;
-    int len = sizeof(address);
-    g_snprintf(shell->peer_address, sizeof(shell->peer_address), "%s:%d",
-               shell->settings.ip.text, shell->settings.first_port);
-    shell->gossip_fd = socket(AF_INET, SOCK_DGRAM, 0);
-    if (shell->gossip_fd < 0 ||
-        evutil_make_socket_nonblocking(shell->gossip_fd) != 0 ||
-        evutil_parse_sockaddr_port(shell->peer_address,
-                                   (struct sockaddr *)&address, &len) != 0 ||
-        bind(shell->gossip_fd, (struct sockaddr *)&address, (socklen_t)len) !=
-            0) {
-        (void)SlError_Set(err, Sl_ERR_INVALID, "gossip.listen",
-                          shell->peer_address, "cannot bind: %s",
-                          g_strerror(errno));
-        return false;
-    }
-    shell->gossip = event_new(shell->base, shell->gossip_fd,
-                              EV_READ | EV_PERSIST, on_datagram, shell);
-    event_add(shell->gossip, NULL);
-    return true;
+    SlRouterShell_Dispatch(context, &event);
 }
 
 /* ---- end ---- */
@@ -475,8 +379,7 @@
         event_base_loopexit(shell->base, NULL);
     }
     else {
-        event_base_once(shell->base, -1, EV_TIMEOUT, on_leaving, shell,
-                        &soon);
+        event_base_once(shell->base, -1, EV_TIMEOUT, on_leaving, shell, &soon);
     }
 }
 
@@ -539,10 +442,12 @@
                                                     : NULL);
         break;
     case Sl_RFX_GOSSIP:
-        send_digest(shell, effect);
+    case Sl_RFX_PULL:
+    case Sl_RFX_PAGE:
+        SlRouterPeers_Perform(shell->peers, effect);
         break;
     case Sl_RFX_LOG:
-        log_fields(shell, effect->u.line.level, effect->u.line.fields);
+        SlRouterShell_Log(shell, effect->u.line.level, effect->u.line.fields);
         break;
     case Sl_RFX_CLOSE_CONNS:
         SlServer_Drain(shell->callers);
@@ -578,7 +483,7 @@
         .vm = settings->vm,
         .domain = settings->domain,
         .region = settings->region,
-        .peer_address = SlName_Of(shell->peer_address),
+        .peer_address = SlRouterPeers_Address(shell),
         .bounds = settings->bounds,
         .boot = random_number() | 1,
         .seed = random_number(),
@@ -637,22 +542,15 @@
         .context = shell,
     };
     shell->store = SlStore_New(&store);
-    if (!open_gossip(shell, err)) {
-        return false;
-    }
     start_router(shell);
-    return start_servers(shell, err);
+    shell->peers = SlRouterPeers_New(shell, err);
+    return shell->peers != NULL && start_servers(shell, err);
 }
 
 static void
 stop(struct sl_router_shell *shell)
 {
-    if (shell->gossip != NULL) {
-        event_free(shell->gossip);
-    }
-    if (shell->gossip_fd >= 0) {
-        close(shell->gossip_fd);
-    }
+    SlRouterPeers_Free(shell->peers);
     SlServer_Free(shell->checks);
     SlServer_Free(shell->callers);
     SlStore_Free(shell->store);
@@ -687,7 +585,7 @@
 int
 SlRouterShell_Main(enum sl_log_level level)
 {
-    struct sl_router_shell shell = {.level = level, .gossip_fd = -1};
+    struct sl_router_shell shell = {.level = level};
     struct sl_error err;
     int code = Sl_EXIT_START;
     if (!load_settings(&shell.settings)) {
@@ -704,7 +602,8 @@
         event_add(terminate, NULL);
         event_add(interrupt, NULL);
         event_add(reload, NULL);
-        log_fields(&shell, Sl_LOG_INFO, Sl_STR("\"event\":\"started\""));
+        SlRouterShell_Log(&shell, Sl_LOG_INFO,
+                          Sl_STR("\"event\":\"started\""));
         on_timer(-1, 0, &shell);
         event_base_dispatch(shell.base);
         event_free(reload);
--- /dev/null
+++ b/programs/sassafrasd_router_peers.c
@@ -0,0 +1,357 @@
+/* Peers of the router's shell: digests by datagram, pages of records by
+ * connection, both at the same port. */
+#include "sassafrasd_router_internal.h"
+
+#include <errno.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Peers are near: a connection is made in milliseconds. */
+#define Sl_PULL_CONNECT_US (400 * Sl_US_PER_MS)
+#define Sl_PULL_SILENCE_US Sl_US_PER_S
+/* Largest page that is taken: all records of a large deployment. */
+#define Sl_PAGE_MAX_BYTES ((size_t)16 * 1024 * 1024)
+static const char pull_path[] = "/records/";
+
+static const struct sl_server_limits peer_limits = {
+    .max_header_bytes = 4096,
+    .max_body_bytes = 0,
+    .header_timeout_us = 3 * Sl_US_PER_S,
+    .idle_timeout_us = 10 * Sl_US_PER_S,
+    .max_connections = 128,
+    .max_unsent_bytes = Sl_PAGE_MAX_BYTES,
+};
+
+struct sl_router_peers {
+    struct sl_router_shell *shell;
+    int fd; /* for datagrams */
+    struct event *readable;
+    struct sl_server *server;
+    GHashTable *pulls; /* struct sl_pull, owned */
+};
+
+/* A pull under way. */
+struct sl_pull {
+    struct sl_router_peers *peers;
+    enum sl_feed feed;
+    uint64_t from;
+    uint64_t handle;
+    int status;
+    struct sl_buf body;
+};
+
+/* ---- digests ---- */
+
+static void
+on_datagram(evutil_socket_t fd, short what, void *context)
+{
+    struct sl_router_peers *peers = context;
+    char bytes[Sl_GOSSIP_MAX_BYTES];
+    struct sl_error err;
+    ssize_t len;
+    (void)what;
+    while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        struct sl_gossip digest;
+        struct sl_router_event event = {.type = Sl_REV_GOSSIP};
+        if (SlGossip_Decode((struct sl_str){bytes, (size_t)len}, &digest,
+                            &err) != Sl_OK) {
+            SlRouterShell_Log(peers->shell, Sl_LOG_WARN,
+                              Sl_STR("\"event\":\"digest_unreadable\""));
+            continue;
+        }
+        event.u.gossip = &digest;
+        SlRouterShell_Dispatch(peers->shell, &event);
+    }
+}
+
+static void
+send_digest(struct sl_router_peers *peers,
+            const struct sl_router_effect *effect)
+{
+    struct sl_buf bytes = {0};
+    SlGossip_Encode(effect->u.gossip.digest, &bytes);
+    for (size_t i = 0; i < effect->u.gossip.count; i++) {
+        struct sockaddr_in address;
+        int len = sizeof(address);
+        if (evutil_parse_sockaddr_port(effect->u.gossip.addresses[i]->text,
+                                       (struct sockaddr *)&address,
+                                       &len) == 0) {
+            /* A digest that is lost is made good by the next. */
+            (void)sendto(peers->fd, bytes.ptr, bytes.len, 0,
+                         (struct sockaddr *)&address, (socklen_t)len);
+        }
+    }
+    SlBuf_Free(&bytes);
+}
+
+/* ---- pulls of ours ---- */
+
+static void
+free_pull(gpointer data)
+{
+    struct sl_pull *pull = data;
+    SlBuf_Free(&pull->body);
+    g_free(pull);
+}
+
+static void
+on_pull_head(void *context, uint64_t handle, const struct sl_head *head)
+{
+    struct sl_pull *pull = context;
+    (void)handle;
+    pull->status = head->status;
+}
+
+static void
+on_pull_piece(void *context, uint64_t handle, struct sl_str bytes)
+{
+    struct sl_pull *pull = context;
+    (void)handle;
+    if (pull->body.len + bytes.len <= Sl_PAGE_MAX_BYTES) {
+        SlBuf_Append(&pull->body, bytes);
+    }
+}
+
+/* Decodes the page's records as those of the store. */
+static void
+give_page(struct sl_pull *pull, const struct sl_page *page,
+          struct sl_router_event *event)
+{
+    struct sl_record *records = g_new0(struct sl_record, page->count + 1);
+    for (size_t i = 0; i < page->count; i++) {
+        SlPlatform_DecodeRecord(pull->feed, page->records[i].offset,
+                                page->records[i].key, page->records[i].value,
+                                &records[i]);
+    }
+    event->u.feed.end = page->end;
+    event->u.feed.count = page->count;
+    event->u.feed.records = records;
+    event->u.feed.snapshot = pull->from == 0;
+    SlRouterShell_Dispatch(pull->peers->shell, event);
+    for (size_t i = 0; i < page->count; i++) {
+        SlPlatform_ClearRecord(&records[i]);
+    }
+    g_free(records);
+}
+
+static void
+on_pull_done(void *context, uint64_t handle, const struct sl_error *failed,
+             const struct sl_client_end *end)
+{
+    struct sl_pull *pull = context;
+    struct sl_router_peers *peers = pull->peers;
+    struct sl_router_event event = {.type = Sl_REV_PULLED, .err = failed};
+    struct sl_page page = {0};
+    struct sl_page_reader *reader = NULL;
+    struct sl_error err;
+    (void)handle;
+    (void)end;
+    event.u.feed.feed = pull->feed;
+    if (failed == NULL && pull->status != 200) {
+        (void)SlError_Set(&err, Sl_ERR_REFUSED, "peer.pull", "", "status %d",
+                          pull->status);
+        event.err = &err;
+    }
+    else if (failed == NULL) {
+        reader = SlPage_Decode(SlBuf_Str(&pull->body), &page, &err);
+        event.err = reader == NULL ? &err : NULL;
+    }
+    if (reader != NULL) {
+        give_page(pull, &page, &event);
+        SlPage_Free(reader);
+    }
+    else {
+        SlRouterShell_Dispatch(peers->shell, &event);
+    }
+    g_hash_table_remove(peers->pulls, pull);
+}
+
+static void
+start_pull(struct sl_router_peers *peers,
+           const struct sl_router_effect *effect)
+{
+    struct sl_pull *pull = g_new0(struct sl_pull, 1);
+    struct sl_buf head = {0};
+    pull->peers = peers;
+    pull->feed = effect->u.pull.feed;
+    pull->from = effect->u.pull.from;
+    SlBuf_Printf(&head,
+                 "GET %s%s/%" G_GUINT64_FORMAT " HTTP/1.1\r\nHost: %s\r\n",
+                 pull_path, SlFeed_Name(pull->feed), (guint64)pull->from,
+                 effect->u.pull.address.text);
+    struct sl_client_call_options options = {
+        .address = SlName_Str(&effect->u.pull.address),
+        .peer = effect->u.pull.address.text,
+        .step = "peer.pull",
+        .head = SlBuf_Str(&head),
+        .connect_timeout_us = Sl_PULL_CONNECT_US,
+        .silence_timeout_us = Sl_PULL_SILENCE_US,
+        .handlers = {on_pull_head, on_pull_piece, on_pull_done, pull},
+    };
+    g_hash_table_add(peers->pulls, pull);
+    pull->handle = SlClient_Call(peers->shell->client, &options);
+    SlBuf_Free(&head);
+}
+
+/* ---- pulls of peers ---- */
+
+/* "/records/FEED/FROM" */
+static bool
+parse_pull(struct sl_str target, enum sl_feed *feed, uint64_t *from)
+{
+    struct sl_str prefix = Sl_STR(pull_path);
+    char text[Sl_NAME_MAX_BYTES + 1];
+    if (!SlStr_StartsWith(target, prefix) ||
+        target.len - prefix.len > Sl_NAME_MAX_BYTES) {
+        return false;
+    }
+    g_strlcpy(text, target.ptr + prefix.len, target.len - prefix.len + 1);
+    char *slash = strchr(text, '/');
+    if (slash == NULL) {
+        return false;
+    }
+    *slash = '\0';
+    *from = g_ascii_strtoull(slash + 1, NULL, 10);
+    for (int i = 0; i < Sl_FEED_COUNT; i++) {
+        if (strcmp(text, SlFeed_Name((enum sl_feed)i)) == 0) {
+            *feed = (enum sl_feed)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+on_peer_request(void *context, uint64_t conn, const struct sl_head *head,
+                struct sl_str body)
+{
+    struct sl_router_peers *peers = context;
+    struct sl_router_event event = {.type = Sl_REV_PULL};
+    (void)body;
+    if (!parse_pull(head->target, &event.u.pull.feed, &event.u.pull.from)) {
+        SlServer_Reply(peers->server, conn, 404, Sl_STR(""), Sl_STR(""));
+        return;
+    }
+    event.u.pull.conn = conn;
+    SlRouterShell_Dispatch(peers->shell, &event);
+}
+
+static void
+on_peer_gone(void *context, uint64_t conn)
+{
+    (void)context; /* its page finds no connection */
+    (void)conn;
+}
+
+static void
+send_page(struct sl_router_peers *peers, const struct sl_router_effect *effect)
+{
+    struct sl_buf body = {0};
+    SlPage_Encode(&effect->u.page.page, &body);
+    SlServer_Reply(peers->server, effect->u.page.conn, 200,
+                   Sl_STR("Content-Type: application/msgpack\r\n"),
+                   SlBuf_Str(&body));
+    SlBuf_Free(&body);
+}
+
+/* ---- public ---- */
+
+struct sl_name
+SlRouterPeers_Address(const struct sl_router_shell *shell)
+{
+    struct sl_name address;
+    int len = g_snprintf(address.text, sizeof(address.text), "%s:%d",
+                         shell->settings.ip.text, shell->settings.first_port);
+    address.len = (uint8_t)MIN(len, Sl_NAME_MAX_BYTES);
+    return address;
+}
+
+static bool
+open_socket(struct sl_router_peers *peers, struct sl_error *err)
+{
+    struct sl_name name = SlRouterPeers_Address(peers->shell);
+    struct sockaddr_in address;
+    int len = sizeof(address);
+    peers->fd = socket(AF_INET, SOCK_DGRAM, 0);
+    if (peers->fd < 0 || evutil_make_socket_nonblocking(peers->fd) != 0 ||
+        evutil_parse_sockaddr_port(name.text, (struct sockaddr *)&address,
+                                   &len) != 0 ||
+        bind(peers->fd, (struct sockaddr *)&address, (socklen_t)len) != 0) {
+        (void)SlError_Set(err, Sl_ERR_INVALID, "peers.listen", name.text,
+                          "cannot bind: %s", g_strerror(errno));
+        return false;
+    }
+    peers->readable = event_new(peers->shell->base, peers->fd,
+                                EV_READ | EV_PERSIST, on_datagram, peers);
+    event_add(peers->readable, NULL);
+    return true;
+}
+
+struct sl_router_peers *
+SlRouterPeers_New(struct sl_router_shell *shell, struct sl_error *err)
+{
+    struct sl_router_peers *peers = g_new0(struct sl_router_peers, 1);
+    struct sl_server_options options = {
+        .base = shell->base,
+        .address = SlRouterPeers_Address(shell),
+        .handlers = {on_peer_request, on_peer_gone, peers},
+        .limits = peer_limits,
+    };
+    peers->shell = shell;
+    peers->fd = -1;
+    peers->pulls = g_hash_table_new_full(NULL, NULL, free_pull, NULL);
+    if (open_socket(peers, err)) {
+        peers->server = SlServer_New(&options, err);
+    }
+    if (peers->server == NULL) {
+        SlRouterPeers_Free(peers);
+        return NULL;
+    }
+    return peers;
+}
+
+void
+SlRouterPeers_Free(struct sl_router_peers *peers)
+{
+    GHashTableIter iter;
+    gpointer key;
+    if (peers == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, peers->pulls);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        SlClient_Cancel(peers->shell->client,
+                        ((const struct sl_pull *)key)->handle);
+    }
+    g_hash_table_destroy(peers->pulls);
+    SlServer_Free(peers->server);
+    if (peers->readable != NULL) {
+        event_free(peers->readable);
+    }
+    if (peers->fd >= 0) {
+        close(peers->fd);
+    }
+    g_free(peers);
+}
+
+void
+SlRouterPeers_Perform(struct sl_router_peers *peers,
+                      const struct sl_router_effect *effect)
+{
+    switch (effect->type) {
+    case Sl_RFX_GOSSIP:
+        send_digest(peers, effect);
+        break;
+    case Sl_RFX_PULL:
+        start_pull(peers, effect);
+        break;
+    case Sl_RFX_PAGE:
+        send_page(peers, effect);
+        break;
+    default:
+        g_assert_not_reached();
+    }
+}
