Router: scripted runs of the reducer

A script is a list of events, its expected file the effects of each; the store is a stand-in in the test. Found by writing them: equals in the queue went in the wrong order, a router that starts in the second half of a roll-out sent sessions back, a cascade's next model avoided the upstream of the first.

--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -210,6 +210,15 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+/* The upstream is the last choice for the flight's next attempt. */
+static void
+mark_tried(struct sl_flight *flight, const struct sl_upstream *upstream)
+{
+    if (flight->tried_count < Sl_MAX_TRIED) {
+        flight->tried[flight->tried_count++] = upstream->reg.id;
+    }
+}
+
 /* The call broke off. */
 static void
 on_broken(struct sl_router *router, struct sl_flight *flight,
@@ -218,6 +227,7 @@
     struct sl_upstream *upstream = flight->exchange.upstream;
     log_end(router, flight, upstream, err);
     SlUpstreams_OnFailure(router, upstream);
+    mark_tried(flight, upstream);
     SlCalls_Detach(router, flight);
     SlFlight_Again(router, flight, connected, "upstream.call",
                    connected ? "the upstream broke off"
@@ -231,6 +241,7 @@
     struct sl_upstream *upstream = flight->exchange.upstream;
     SlUpstreams_OnRefused(router, upstream,
                           flight->exchange.head.retry_after_us);
+    mark_tried(flight, upstream);
     SlCalls_Detach(router, flight);
     SlFlight_Again(router, flight, false, "upstream.call",
                    "the upstreams are full");
--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -29,9 +29,6 @@
     SlEvents_Clear(&exchange->events);
     exchange->events_taken = 0;
     flight->tries++;
-    if (flight->tried_count < Sl_MAX_TRIED) {
-        flight->tried[flight->tried_count++] = upstream->reg.id;
-    }
     if (flight->state == Sl_FLIGHT_WAITING) {
         flight->state = Sl_FLIGHT_CALLING;
     }
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -288,6 +288,7 @@
     flight->session = session;
     flight->subject = subject_of(ask);
     keep_ask(flight, ask);
+    flight->order = ++router->last_order;
     flight->arrived_us = router->now_us;
     flight->deadline_us = deadline_of(router, ask, route);
     flight->priority =
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -46,6 +46,9 @@
 #define Sl_PRIOR_ANSWERS 4.0
 #define Sl_PRIOR_BAD 0.1
 #define Sl_CHECK_US (150 * Sl_US_PER_MS)
+/* A router that learns of a roll-out so soon after its start was not there
+ * when it began. */
+#define Sl_STARTING_US (2 * Sl_US_PER_S)
 /* Sessions that are remembered; the oldest go first. */
 #define Sl_MAX_SESSIONS 20000
 
@@ -603,7 +606,7 @@
     int64_t age_us = (router->wall_ms - status->began_ms) * Sl_US_PER_MS;
     if (status->began_ms > 0 && age_us > 0 &&
         age_us < 2 * rollout->order.duration_us &&
-        router->now_us - router->started_us < Sl_US_PER_S) {
+        router->now_us - router->started_us < Sl_STARTING_US) {
         rollout->began_us = MIN(rollout->began_us, router->now_us - age_us);
     }
 }
@@ -623,6 +626,11 @@
     rollout->status_ramped = status->ramped;
     if (status->ramped && rollout->ramped_us == 0) {
         rollout->ramped_us = router->now_us;
+        if (router->now_us - router->started_us < Sl_STARTING_US) {
+            /* The others may be further: sessions must not go back. */
+            rollout->ramped_us -=
+                (int64_t)(Sl_RAMP_FOR * (double)rollout->order.duration_us);
+        }
     }
     router->capacity_changed = true;
     log_rollout(router, rollout, "rollout_status");
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -176,6 +176,7 @@
     enum sl_flight_state state;
     struct sl_buf text; /* what the views of `ask` point to */
     struct sl_ask ask;
+    uint64_t order; /* of arrivals */
     int64_t arrived_us;
     int64_t deadline_us; /* the caller leaves, or the route's time is over */
     int64_t priority;
@@ -228,6 +229,7 @@
     struct sl_counters *counters;
     struct sl_router_effects *fx; /* of the event in hand */
     uint64_t last_token;
+    uint64_t last_order;
     struct sl_buf line; /* the log line in hand */
 
     struct sl_feed_state feeds[Sl_FEED_COUNT];
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -15,10 +15,7 @@
     if (x->priority != y->priority) {
         return x->priority < y->priority ? -1 : 1;
     }
-    if (x->arrived_us != y->arrived_us) {
-        return x->arrived_us < y->arrived_us ? -1 : 1;
-    }
-    return 0;
+    return x->order < y->order ? -1 : x->order > y->order ? 1 : 0;
 }
 
 void
--- /dev/null
+++ b/tests/unit/router_script.cc
@@ -0,0 +1,754 @@
+// Scripted runs of the router: tests/scripts/router/NAME.script is a list of
+// events, NAME.expected is the same list with the effects of each. With
+// SL_WRITE_EXPECTED set, the expected files are written instead.
+//
+// A script line is a word and "key=value" members; values hold no spaces, and
+// "~" stands for a line's end in them.
+//   include FILE
+//   start [vm=] [domain=] [exposure=]              the process starts
+//   service NAME [engine] [slots=] [models=a,b] [cold-s=] [cold-per-s=]
+//   route NAME host= prefix= kind= to=S[:W],.. [timeout=] [target=]
+//     [attempts=] [priority=] [models=a,b] [resumable] [public]
+//   team NAME keys=a,b [priority=]
+//   publish VERSION        the services, routes and teams so far
+//   upstream ID service= [domain=] [version=] [slots=] [cold=MS] [draining]
+//     [seq=] [born=]
+//   drop ID | evacuate DOMAIN | restore DOMAIN
+//   rollout SERVICE VERSION seconds= | status SERVICE VERSION STATE [ramped]
+//   store up | down | silent
+//   request CONN host= path= [key=] [id=] [deadline=MS] [model=] [session=]
+//     [parts=ID:TOKENS,..] [tokens=] [last=]
+//   gone CONN
+//   head CONN STATUS [stamp] [not-run] [wrong] [confidence=] [load=R,W]
+//   piece CONN TEXT
+//   done CONN [err=] [unsent]      of the newest call for that caller
+//   digest VM [domain=] [offsets=A,B,C] [load=ID:N:MS] [sessions=..]
+//     [order=] [elapsed=MS] [leaving]
+//   appended [conflict] [err=]   the newest append is answered
+//   drain | show WORD... | hide WORD... | +MS
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <set>
+#include <sstream>
+
+#include "router_world.h"
+
+namespace fs = std::filesystem;
+
+static fs::path
+scripts_dir()
+{
+    return fs::path(__FILE__).parent_path() / "../scripts/router";
+}
+
+static std::vector<std::string>
+split(const std::string &list, char separator = ',')
+{
+    std::vector<std::string> out;
+    std::istringstream in(list);
+    for (std::string item; std::getline(in, item, separator);) {
+        out.push_back(item);
+    }
+    return out;
+}
+
+// Members of a script line.
+struct members {
+    std::vector<std::string> words;
+    std::map<std::string, std::string> values;
+
+    explicit members(const std::string &line)
+    {
+        std::istringstream in(line);
+        for (std::string word; in >> word;) {
+            size_t equals = word.find('=');
+            if (equals == std::string::npos) {
+                words.push_back(word);
+            }
+            else {
+                values[word.substr(0, equals)] = word.substr(equals + 1);
+            }
+        }
+    }
+
+    bool
+    flag(const std::string &word) const
+    {
+        return std::find(words.begin() + 1, words.end(), word) != words.end();
+    }
+
+    std::string
+    str(const std::string &key, const std::string &fallback = "") const
+    {
+        auto at = values.find(key);
+        return at == values.end() ? fallback : at->second;
+    }
+
+    int64_t
+    number(const std::string &key, int64_t fallback = 0) const
+    {
+        auto at = values.find(key);
+        return at == values.end() ? fallback : std::stoll(at->second);
+    }
+
+    double
+    real(const std::string &key, double fallback = 0) const
+    {
+        auto at = values.find(key);
+        return at == values.end() ? fallback : std::stod(at->second);
+    }
+
+    struct sl_name
+    name(const std::string &key, const std::string &fallback = "") const
+    {
+        return SlName_Of(str(key, fallback).c_str());
+    }
+
+    struct sl_name
+    word_name(size_t index) const
+    {
+        return SlName_Of(words.at(index).c_str());
+    }
+
+    uint64_t
+    id(size_t index) const
+    {
+        return std::stoull(words.at(index));
+    }
+};
+
+static size_t
+read_names(const std::string &list, struct sl_name *out, size_t max)
+{
+    size_t count = 0;
+    for (const std::string &name : split(list)) {
+        if (count < max) {
+            out[count++] = SlName_Of(name.c_str());
+        }
+    }
+    return count;
+}
+
+class Script {
+  public:
+    explicit Script(const fs::path &path)
+    {
+        world.on_effect = [this](const struct sl_router_effect &effect) {
+            print(effect);
+        };
+        run_file(path);
+    }
+
+    std::string
+    output() const
+    {
+        return out.str();
+    }
+
+  private:
+    World world;
+    std::ostringstream out;
+    std::set<std::string> shown;
+    std::vector<struct sl_route_service> services;
+    std::vector<struct sl_route> routes;
+    std::vector<std::pair<struct sl_team, std::vector<std::string>>> teams;
+    uint64_t append_token = 0;
+    std::map<std::string, uint64_t> sequences; // of digests
+    std::map<std::string, uint64_t> calls;     // newest, by request id
+    std::map<uint64_t, std::string> requests;  // by token of a call
+
+    uint64_t
+    call_of(const members &m)
+    {
+        return calls["req-" + m.words.at(1)];
+    }
+
+    void
+    run_file(const fs::path &path)
+    {
+        std::ifstream file(path);
+        ASSERT_TRUE(file) << path;
+        for (std::string line; std::getline(file, line);) {
+            out << line << "\n";
+            if (line.rfind("include ", 0) == 0) {
+                std::ostringstream kept;
+                kept.swap(out); // the included lines are not repeated
+                run_file(path.parent_path() / line.substr(8));
+                kept.swap(out);
+            }
+            else if (!line.empty() && line[0] != '#') {
+                run_line(line);
+            }
+        }
+    }
+
+    void
+    run_line(const std::string &line)
+    {
+        static const std::map<std::string, void (Script::*)(const members &)>
+            handlers = {
+                {"start", &Script::on_start},
+                {"service", &Script::on_service},
+                {"route", &Script::on_route},
+                {"team", &Script::on_team},
+                {"publish", &Script::on_publish},
+                {"upstream", &Script::on_upstream},
+                {"drop", &Script::on_drop},
+                {"evacuate", &Script::on_evacuate},
+                {"restore", &Script::on_evacuate},
+                {"rollout", &Script::on_rollout},
+                {"status", &Script::on_status},
+                {"store", &Script::on_store},
+                {"request", &Script::on_request},
+                {"gone", &Script::on_gone},
+                {"head", &Script::on_head},
+                {"piece", &Script::on_piece},
+                {"done", &Script::on_done},
+                {"digest", &Script::on_digest},
+                {"appended", &Script::on_appended},
+                {"drain", &Script::on_drain},
+                {"show", &Script::on_show},
+                {"hide", &Script::on_show},
+            };
+        if (line[0] == '+') {
+            world.pass(std::stoll(line.substr(1)));
+            return;
+        }
+        members m(line);
+        auto handler = handlers.find(m.words.at(0));
+        ASSERT_NE(handler, handlers.end()) << line;
+        (this->*handler->second)(m);
+    }
+
+    /* ---- events ---- */
+
+    void
+    on_start(const members &m)
+    {
+        struct sl_bounds bounds = small_bounds();
+        bounds.exposure_share = m.real("exposure", bounds.exposure_share);
+        world.start(m.str("vm", "e1"), m.str("domain", "brest"), bounds);
+    }
+
+    void
+    on_service(const members &m)
+    {
+        struct sl_route_service service = {};
+        service.name = m.word_name(1);
+        service.is_engine = m.flag("engine");
+        service.slots = m.number("slots", 4);
+        service.cold_start_us =
+            (int64_t)(m.real("cold-s") * (double)Sl_US_PER_S);
+        service.cold_per_s = m.real("cold-per-s");
+        services.push_back(service);
+    }
+
+    void
+    on_route(const members &m)
+    {
+        static const std::map<std::string, enum sl_route_kind> kinds = {
+            {"idempotent", Sl_ROUTE_IDEMPOTENT},
+            {"once", Sl_ROUTE_ONCE},
+            {"stream", Sl_ROUTE_STREAM},
+        };
+        struct sl_route route = {};
+        route.name = m.word_name(1);
+        route.host = m.name("host", "h");
+        route.prefix = m.name("prefix");
+        route.kind = kinds.at(m.str("kind"));
+        route.resumable = m.flag("resumable");
+        route.is_public = m.flag("public");
+        route.timeout_us = m.number("timeout", 5000) * Sl_US_PER_MS;
+        route.target_us = m.number("target", 1000) * Sl_US_PER_MS;
+        route.gap_us = m.number("gap", 2000) * Sl_US_PER_MS;
+        route.priority = m.number("priority");
+        route.max_attempts = m.number("attempts", 1);
+        route.model_count =
+            read_names(m.str("models"), route.models, Sl_MAX_MODELS);
+        for (const std::string &target : split(m.str("to"))) {
+            std::vector<std::string> parts = split(target, ':');
+            struct sl_route_target &at = route.targets[route.target_count++];
+            at.service = SlName_Of(parts[0].c_str());
+            at.weight = parts.size() > 1 ? std::stod(parts[1]) : 1;
+        }
+        routes.push_back(route);
+    }
+
+    void
+    on_team(const members &m)
+    {
+        struct sl_team team = {};
+        team.name = m.word_name(1);
+        team.priority = m.number("priority", -1);
+        teams.emplace_back(team, split(m.str("keys")));
+    }
+
+    void
+    on_publish(const members &m)
+    {
+        struct sl_record record = {};
+        struct sl_error err;
+        record.type = Sl_RECORD_ROUTING;
+        record.u.routing = SlRouting_New((int64_t)m.id(1));
+        for (const auto &service : services) {
+            ASSERT_EQ(SlRouting_AddService(record.u.routing, &service, &err),
+                      Sl_OK);
+        }
+        for (const auto &route : routes) {
+            ASSERT_EQ(SlRouting_AddRoute(record.u.routing, &route, &err),
+                      Sl_OK);
+        }
+        for (const auto &team : teams) {
+            ASSERT_EQ(SlRouting_AddTeam(record.u.routing, &team.first, &err),
+                      Sl_OK);
+            for (const std::string &key : team.second) {
+                ASSERT_EQ(SlRouting_AddKey(record.u.routing, view(key),
+                                           &team.first.name, &err),
+                          Sl_OK);
+            }
+        }
+        world.append(Sl_FEED_OPERATORS, "config", record);
+        if (m.flag("forget")) {
+            services.clear();
+            routes.clear();
+            teams.clear();
+        }
+    }
+
+    void
+    on_upstream(const members &m)
+    {
+        struct sl_record record = {};
+        struct sl_registration &reg = record.u.upstream;
+        record.type = Sl_RECORD_UPSTREAM;
+        reg.id = m.word_name(1);
+        reg.service = m.name("service");
+        reg.address = m.name("address", m.words.at(1) + ":80");
+        reg.domain = m.name("domain", "brest");
+        reg.version = m.name("version", "v1");
+        reg.slots = m.number("slots", 4);
+        reg.cold_us = m.number("cold") * Sl_US_PER_MS;
+        reg.born_ms = m.number("born");
+        reg.sequence = (uint64_t)m.number(
+            "seq", (int64_t)world.topics[Sl_FEED_UPSTREAMS].end());
+        reg.draining = m.flag("draining");
+        world.append(Sl_FEED_UPSTREAMS, m.words.at(1), record);
+    }
+
+    void
+    on_drop(const members &m)
+    {
+        struct sl_record record = {};
+        record.type = Sl_RECORD_UPSTREAM;
+        record.dropped = true;
+        record.u.upstream.id = m.word_name(1);
+        world.append(Sl_FEED_UPSTREAMS, m.words.at(1), record);
+    }
+
+    void
+    on_evacuate(const members &m)
+    {
+        struct sl_record record = {};
+        record.type = Sl_RECORD_EVACUATION;
+        record.dropped = m.words.at(0) == "restore";
+        record.u.evacuated = m.word_name(1);
+        world.append(Sl_FEED_OPERATORS, "evacuate/" + m.words.at(1), record);
+    }
+
+    void
+    on_rollout(const members &m)
+    {
+        struct sl_record record = {};
+        record.type = Sl_RECORD_ROLLOUT;
+        record.u.rollout.service = m.word_name(1);
+        record.u.rollout.version = m.word_name(2);
+        record.u.rollout.duration_us = m.number("seconds") * Sl_US_PER_S;
+        world.append(Sl_FEED_OPERATORS, "rollout/" + m.words.at(1), record);
+    }
+
+    void
+    on_status(const members &m)
+    {
+        static const std::map<std::string, enum sl_rollout_state> states = {
+            {"running", Sl_ROLLOUT_RUNNING},
+            {"completed", Sl_ROLLOUT_COMPLETED},
+            {"rolled_back", Sl_ROLLOUT_ROLLED_BACK},
+        };
+        struct sl_record record = {};
+        record.type = Sl_RECORD_STATUS;
+        record.u.status.service = m.word_name(1);
+        record.u.status.version = m.word_name(2);
+        record.u.status.state = states.at(m.words.at(3));
+        record.u.status.ramped = m.flag("ramped");
+        record.u.status.order = (uint64_t)m.number("order");
+        world.append(Sl_FEED_STATUS, "rollout/" + m.words.at(1), record);
+    }
+
+    void
+    on_store(const members &m)
+    {
+        world.store_up = m.words.at(1) == "up";
+        world.store_silent = m.words.at(1) == "silent";
+    }
+
+    void
+    on_request(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_REQUEST);
+        struct sl_ask &ask = event.u.ask;
+        std::string id = m.str("id", "req-" + m.words.at(1));
+        std::string host = m.str("host", "h");
+        std::string path = m.str("path");
+        std::string key = m.str("key");
+        std::string model = m.str("model");
+        std::string session = m.str("session");
+        ask.conn = m.id(1);
+        ask.id = view(id);
+        ask.method = Sl_STR("POST");
+        ask.target = view(path);
+        ask.host = view(host);
+        ask.key = view(key);
+        ask.model = view(model);
+        ask.session = view(session);
+        ask.deadline_us = m.number("deadline") * Sl_US_PER_MS;
+        ask.last_event = m.number("last", -1);
+        ask.prompt_tokens = m.number("tokens");
+        for (const std::string &part : split(m.str("parts"))) {
+            std::vector<std::string> fields = split(part, ':');
+            ask.parts[ask.part_count].id = std::stoull(fields[0]);
+            ask.parts[ask.part_count].tokens = std::stoll(fields[1]);
+            ask.prompt_tokens += ask.parts[ask.part_count].tokens;
+            ask.part_count++;
+        }
+        world.reduce(event);
+    }
+
+    void
+    on_gone(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_CALLER_GONE);
+        event.u.conn = m.id(1);
+        world.reduce(event);
+    }
+
+    void
+    on_head(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_ANSWER_HEAD);
+        struct sl_answer_head head = {};
+        std::vector<std::string> load = split(m.str("load"));
+        head.status = std::stoi(m.words.at(2));
+        head.is_stamped = m.flag("stamp");
+        head.not_executed = m.flag("not-run");
+        head.wrong_instance = m.flag("wrong");
+        head.confidence = (int)m.number("confidence", -1);
+        head.cold_us = -1;
+        if (load.size() == 2) {
+            head.has_load = true;
+            head.running = std::stoll(load[0]);
+            head.waiting = std::stoll(load[1]);
+        }
+        event.u.answer.token = call_of(m);
+        event.u.answer.head = &head;
+        world.reduce(event);
+    }
+
+    void
+    on_piece(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_ANSWER_PIECE);
+        std::string bytes = m.words.at(2);
+        std::replace(bytes.begin(), bytes.end(), '~', '\n');
+        event.u.answer.token = call_of(m);
+        event.u.answer.bytes = view(bytes);
+        world.reduce(event);
+    }
+
+    void
+    on_done(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_ANSWER_DONE);
+        struct sl_error err;
+        event.u.answer.token = call_of(m);
+        event.u.answer.connected = !m.flag("unsent");
+        if (!m.str("err").empty()) {
+            SlError_Set(&err, Sl_ERR_LOST, "upstream.call", "u", "%s",
+                        m.str("err").c_str());
+            event.err = &err;
+        }
+        world.reduce(event);
+    }
+
+    void
+    on_digest(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_GOSSIP);
+        auto digest = std::make_unique<struct sl_gossip>();
+        std::vector<std::string> offsets = split(m.str("offsets", "0,0,0"));
+        digest->vm = m.word_name(1);
+        digest->domain = m.name("domain", "brest");
+        digest->address = m.name("address", m.words.at(1) + ":7340");
+        digest->boot = (uint64_t)m.number("boot", 7);
+        digest->sequence = ++sequences[m.words.at(1)];
+        digest->leaving = m.flag("leaving");
+        for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+            digest->offsets[i] = std::stoull(offsets.at(i));
+        }
+        for (const std::string &load : split(m.str("load"))) {
+            std::vector<std::string> fields = split(load, ':');
+            struct sl_gossip_load &at = digest->loads[digest->load_count++];
+            at.upstream = (uint32_t)SlHash_Bytes(0, view(fields.at(0)));
+            at.in_flight = (uint32_t)std::stoul(fields.at(1));
+            at.backlog_ms = (uint32_t)std::stoul(fields.at(2));
+        }
+        if (m.values.count("order") != 0) {
+            struct sl_gossip_rollout &rollout = digest->rollouts[0];
+            digest->rollout_count = 1;
+            rollout.order = (uint64_t)m.number("order");
+            rollout.elapsed_ms = (uint32_t)m.number("elapsed");
+            rollout.base_in_flight = (uint32_t)m.number("base");
+            if (m.values.count("bad") != 0) {
+                rollout.tally_count = 1;
+                rollout.tallies[0] = {1, (uint32_t)m.number("answers") * 10,
+                                      (uint32_t)m.number("bad") * 10,
+                                      (uint32_t)m.number("base-answers") * 10,
+                                      (uint32_t)m.number("base-bad") * 10};
+            }
+        }
+        event.u.gossip = digest.get();
+        world.reduce(event);
+    }
+
+    void
+    on_appended(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_APPENDED);
+        struct sl_error err;
+        event.u.appended.token = append_token;
+        event.u.appended.conflict = m.flag("conflict");
+        if (!m.str("err").empty()) {
+            SlError_Set(&err, Sl_ERR_LOST, "store.call", "store", "%s",
+                        m.str("err").c_str());
+            event.err = &err;
+        }
+        world.reduce(event);
+    }
+
+    void
+    on_drain(const members &)
+    {
+        world.reduce(world.event_of(Sl_REV_DRAIN));
+    }
+
+    void
+    on_show(const members &m)
+    {
+        for (size_t i = 1; i < m.words.size(); i++) {
+            if (m.words[0] == "show") {
+                shown.insert(m.words[i]);
+            }
+            else {
+                shown.erase(m.words[i]);
+            }
+        }
+    }
+
+    /* ---- effects ---- */
+
+    std::ostream &
+    line()
+    {
+        return out << "    "
+                   << (world.now_us - 1000 * Sl_US_PER_S) / Sl_US_PER_MS
+                   << " ";
+    }
+
+    static std::string
+    escaped(struct sl_str bytes)
+    {
+        std::string line = text(bytes);
+        std::replace(line.begin(), line.end(), '\n', '~');
+        return line;
+    }
+
+    void
+    print_reply(const char *word, const struct sl_fx_reply &reply)
+    {
+        line() << word << " " << reply.conn << " " << reply.status;
+        if (reply.is_own) {
+            out << " " << reply.outcome << " " << reply.step;
+            if (reply.retry_after_us > 0) {
+                out << " retry-after=" << reply.retry_after_us / Sl_US_PER_MS;
+            }
+        }
+        else if (reply.body.len > 0) {
+            out << " " << escaped(reply.body);
+        }
+        out << "\n";
+    }
+
+    void
+    print_call(const struct sl_fx_upstream_call &call)
+    {
+        std::string id = text(call.request_id);
+        calls[id] = call.token;
+        requests[call.token] = id;
+        line() << "call " << id << " " << call.upstream.text;
+        if (call.model.len > 0) {
+            out << " model=" << text(call.model);
+        }
+        if (!SlName_IsEmpty(&call.team)) {
+            out << " team=" << call.team.text;
+        }
+        if (call.last_event >= 0) {
+            out << " last=" << call.last_event;
+        }
+        out << " deadline=" << call.deadline_us / Sl_US_PER_MS << "\n";
+    }
+
+    void
+    print_append(const struct sl_router_effect &effect)
+    {
+        static const char *const states[] = {"running", "completed",
+                                             "rolled_back"};
+        const struct sl_record &record = effect.u.append.record;
+        append_token = effect.u.append.token;
+        if (record.type == Sl_RECORD_STATUS) {
+            line() << "append " << record.u.status.service.text << " "
+                   << record.u.status.version.text << " "
+                   << states[record.u.status.state]
+                   << (record.u.status.ramped ? " ramped" : "")
+                   << " at=" << effect.u.append.at << "\n";
+        }
+        else if (shown.count("member") != 0) {
+            line() << "append member " << record.u.member.vm.text << "\n";
+        }
+    }
+
+    void
+    print_log(const struct sl_router_effect &effect)
+    {
+        std::string fields = text(effect.u.line.fields);
+        for (const std::string &word : shown) {
+            if (fields.find("\"event\":\"" + word + "\"") == 0) {
+                line() << "log " << fields << "\n";
+            }
+        }
+    }
+
+    void
+    print_gossip(const struct sl_router_effect &effect)
+    {
+        if (shown.count("gossip") == 0) {
+            return;
+        }
+        line() << "gossip";
+        for (size_t i = 0; i < effect.u.gossip.count; i++) {
+            out << " " << effect.u.gossip.addresses[i]->text;
+        }
+        out << " loads=" << effect.u.gossip.digest->load_count
+            << " rollouts=" << effect.u.gossip.digest->rollout_count
+            << (effect.u.gossip.digest->leaving ? " leaving" : "") << "\n";
+    }
+
+    void
+    print(const struct sl_router_effect &effect)
+    {
+        switch (effect.type) {
+        case Sl_RFX_CALL:
+            print_call(effect.u.call);
+            break;
+        case Sl_RFX_CANCEL:
+            line() << "cancel " << requests[effect.u.token] << "\n";
+            break;
+        case Sl_RFX_REPLY:
+            print_reply("reply", effect.u.reply);
+            break;
+        case Sl_RFX_BEGIN:
+            print_reply("begin", effect.u.reply);
+            break;
+        case Sl_RFX_SEND:
+            line() << "send " << effect.u.send.conn << " "
+                   << escaped(effect.u.send.bytes) << "\n";
+            break;
+        case Sl_RFX_FINISH:
+            line() << "finish " << effect.u.conn << "\n";
+            break;
+        case Sl_RFX_ABORT:
+            line() << "abort " << effect.u.conn << "\n";
+            break;
+        case Sl_RFX_APPEND:
+            print_append(effect);
+            break;
+        case Sl_RFX_GOSSIP:
+            print_gossip(effect);
+            break;
+        case Sl_RFX_PULL:
+            line() << "pull " << SlFeed_Name(effect.u.pull.feed)
+                   << " from=" << effect.u.pull.from << " "
+                   << effect.u.pull.address.text << "\n";
+            break;
+        case Sl_RFX_PAGE:
+            line() << "page " << effect.u.page.conn
+                   << " end=" << effect.u.page.page.end
+                   << " records=" << effect.u.page.page.count << "\n";
+            break;
+        case Sl_RFX_LOG:
+            print_log(effect);
+            break;
+        case Sl_RFX_LIMITS:
+            break;
+        case Sl_RFX_CLOSE_CONNS:
+            line() << "close-conns\n";
+            break;
+        case Sl_RFX_STOP_ACCEPTING:
+            line() << "stop-accepting\n";
+            break;
+        case Sl_RFX_EXIT:
+            line() << "exit\n";
+            break;
+        default:
+            line() << "?\n";
+            break;
+        }
+    }
+};
+
+class RouterScript : public testing::TestWithParam<std::string> {};
+
+TEST_P(RouterScript, Run)
+{
+    fs::path path = scripts_dir() / (GetParam() + ".script");
+    fs::path expected_path = scripts_dir() / (GetParam() + ".expected");
+    Script script(path);
+    if (std::getenv("SL_WRITE_EXPECTED") != nullptr) {
+        std::ofstream(expected_path) << script.output();
+        return;
+    }
+    std::ifstream file(expected_path);
+    std::stringstream expected;
+    expected << file.rdbuf();
+    EXPECT_EQ(script.output(), expected.str()) << path;
+}
+
+static std::vector<std::string>
+script_names()
+{
+    std::vector<std::string> names;
+    for (const auto &entry : fs::directory_iterator(scripts_dir())) {
+        if (entry.path().extension() == ".script") {
+            names.push_back(entry.path().stem().string());
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+INSTANTIATE_TEST_SUITE_P(Scripts, RouterScript,
+                         testing::ValuesIn(script_names()),
+                         [](const auto &param) { return param.param; });
--- /dev/null
+++ b/tests/unit/router_world.h
@@ -0,0 +1,313 @@
+// A router with a stand-in for the store and numbered calls, for scripted and
+// random runs of the reducer.
+#ifndef SL_ROUTER_WORLD_H
+#define SL_ROUTER_WORLD_H
+
+#include <cstdint>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "sl_router.h"
+}
+
+inline struct sl_str
+view(const std::string &text)
+{
+    return {text.data(), text.size()};
+}
+
+inline std::string
+text(struct sl_str view)
+{
+    return view.len == 0 ? std::string() : std::string(view.ptr, view.len);
+}
+
+// The store's topics: what was appended, in order. Records refer to routing
+// tables that the topic owns.
+class Topic {
+  public:
+    Topic() = default;
+    Topic(const Topic &) = delete;
+    Topic &operator=(const Topic &) = delete;
+
+    ~Topic()
+    {
+        for (struct sl_record &record : records) {
+            if (record.type == Sl_RECORD_ROUTING && !record.dropped) {
+                SlRouting_Unref(record.u.routing);
+            }
+        }
+    }
+
+    uint64_t
+    end() const
+    {
+        return records.size();
+    }
+
+    void
+    append(const std::string &key, struct sl_record record)
+    {
+        record.offset = end();
+        keys.push_back(std::make_unique<std::string>(key));
+        record.key = view(*keys.back());
+        record.value = record.dropped ? Sl_STR("") : Sl_STR("{}");
+        records.push_back(record);
+    }
+
+    // Records from an offset on, the newest of each key only.
+    std::vector<struct sl_record>
+    from(uint64_t offset) const
+    {
+        std::map<std::string, size_t> newest;
+        for (size_t i = 0; i < records.size(); i++) {
+            newest[*keys[i]] = i;
+        }
+        std::vector<struct sl_record> out;
+        for (size_t i = offset; i < records.size(); i++) {
+            if (newest[*keys[i]] == i) {
+                out.push_back(records[i]);
+            }
+        }
+        return out;
+    }
+
+    // The newest of each key, without those that were dropped.
+    std::vector<struct sl_record>
+    snapshot() const
+    {
+        std::vector<struct sl_record> out;
+        for (const struct sl_record &record : from(0)) {
+            if (!record.dropped) {
+                out.push_back(record);
+            }
+        }
+        return out;
+    }
+
+  private:
+    std::vector<struct sl_record> records;
+    std::vector<std::unique_ptr<std::string>> keys;
+};
+
+// Bounds of a small deployment.
+inline struct sl_bounds
+small_bounds()
+{
+    struct sl_bounds bounds = {};
+    bounds.drain_us = 2 * Sl_US_PER_S;
+    bounds.grace_us = 8 * Sl_US_PER_S;
+    bounds.retry_ratio = 0.9;
+    bounds.retry_extra = 50;
+    bounds.retry_window_us = 10 * Sl_US_PER_S;
+    bounds.exposure_share = 0.15;
+    bounds.exposure_extra = 30;
+    bounds.rollback_us = 5 * Sl_US_PER_S;
+    bounds.cold_overshoot = 1.5;
+    bounds.cold_extra = 5;
+    bounds.session_us = 5 * Sl_US_PER_S;
+    bounds.reuse_us = 2 * Sl_US_PER_S;
+    bounds.heartbeat_us = 1200 * Sl_US_PER_MS;
+    bounds.contact_us = 3 * Sl_US_PER_S;
+    return bounds;
+}
+
+// One router. Reads of the store are answered here; every other effect goes
+// to `on_effect`.
+class World {
+  public:
+    int64_t now_us = 1000 * Sl_US_PER_S;
+    bool store_up = true;
+    bool store_silent = false; // while down: no answer at all
+    Topic topics[Sl_FEED_COUNT];
+    struct sl_router *router = nullptr;
+    std::function<void(const struct sl_router_effect &)> on_effect;
+
+    World() : effects(SlRouterEffects_New())
+    {
+    }
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    ~World()
+    {
+        SlRouter_Free(router);
+        SlRouterEffects_Free(effects);
+    }
+
+    void
+    start(const std::string &vm, const std::string &domain,
+          const struct sl_bounds &bounds, uint64_t seed = 1)
+    {
+        struct sl_router_options options = {};
+        options.vm = SlName_Of(vm.c_str());
+        options.domain = SlName_Of(domain.c_str());
+        options.peer_address = SlName_Of((vm + ":7340").c_str());
+        options.bounds = bounds;
+        options.boot = 1 + seed;
+        options.seed = seed;
+        options.now_us = now_us;
+        router = SlRouter_New(&options);
+        tick();
+    }
+
+    struct sl_router_event
+    event_of(enum sl_router_event_type type) const
+    {
+        struct sl_router_event event = {};
+        event.type = type;
+        event.now_us = now_us;
+        event.wall_ms = 1700000000000 + now_us / Sl_US_PER_MS;
+        return event;
+    }
+
+    void
+    tick()
+    {
+        reduce(event_of(Sl_REV_TICK));
+    }
+
+    void
+    reduce(const struct sl_router_event &event)
+    {
+        SlRouterEffects_Clear(effects);
+        SlRouter_Reduce(router, &event, effects);
+        for (size_t i = 0; i < SlRouterEffects_Count(effects); i++) {
+            const struct sl_router_effect *effect =
+                SlRouterEffects_At(effects, i);
+            if (!read_store(*effect)) {
+                on_effect(*effect);
+            }
+        }
+        answer_reads();
+    }
+
+    // Time passes; timers run when they are due.
+    void
+    pass(int64_t ms)
+    {
+        int64_t end_us = now_us + ms * Sl_US_PER_MS;
+        for (;;) {
+            int64_t due = std::min(SlRouter_NextDue(router), next_read_due());
+            if (due > end_us) {
+                break;
+            }
+            now_us = std::max(now_us, due);
+            tick();
+        }
+        now_us = end_us;
+        tick();
+    }
+
+    void
+    append(enum sl_feed feed, const std::string &key,
+           const struct sl_record &record)
+    {
+        topics[feed].append(key, record);
+        answer_reads();
+    }
+
+  private:
+    struct pending_read {
+        bool active = false;
+        bool snapshot = false;
+        uint64_t from = 0;
+        int64_t due_us = 0;
+    };
+    struct sl_router_effects *effects;
+    pending_read reads[Sl_FEED_COUNT];
+    bool answering = false;
+
+    bool
+    read_store(const struct sl_router_effect &effect)
+    {
+        if (effect.type == Sl_RFX_READ_NEWEST ||
+            effect.type == Sl_RFX_READ_ON) {
+            pending_read &pending = reads[effect.u.read.feed];
+            pending.active = true;
+            pending.snapshot = effect.type == Sl_RFX_READ_NEWEST;
+            pending.from = effect.u.read.from;
+            pending.due_us = now_us + effect.u.read.wait_us;
+            return true;
+        }
+        if (effect.type == Sl_RFX_READ_CANCEL) {
+            reads[effect.u.read.feed].active = false;
+            return true;
+        }
+        return false;
+    }
+
+    int64_t
+    next_read_due() const
+    {
+        int64_t due = Sl_NEVER_US;
+        for (const pending_read &pending : reads) {
+            if (pending.active) {
+                due = std::min(due, pending.due_us);
+            }
+        }
+        return due;
+    }
+
+    bool
+    is_due(int feed) const
+    {
+        const pending_read &pending = reads[feed];
+        if (!pending.active) {
+            return false;
+        }
+        if (!store_up) {
+            return !store_silent || now_us >= pending.due_us;
+        }
+        return pending.snapshot || topics[feed].end() > pending.from ||
+               now_us >= pending.due_us;
+    }
+
+    void
+    answer_reads()
+    {
+        if (answering || router == nullptr) {
+            return;
+        }
+        answering = true;
+        for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
+            if (is_due(feed)) {
+                answer_read(feed);
+                feed = -1; // the answer may have started other reads
+            }
+        }
+        answering = false;
+    }
+
+    void
+    answer_read(int feed)
+    {
+        struct sl_router_event event = event_of(Sl_REV_FEED);
+        struct sl_error err;
+        std::vector<struct sl_record> records;
+        reads[feed].active = false;
+        event.u.feed.feed = (enum sl_feed)feed;
+        if (!store_up) {
+            SlError_Set(&err, Sl_ERR_REFUSED, "store.answer", "store",
+                        "status 503");
+            event.err = &err;
+        }
+        else {
+            const Topic &topic = topics[feed];
+            records = reads[feed].snapshot ? topic.snapshot()
+                                           : topic.from(reads[feed].from);
+            event.u.feed.snapshot = reads[feed].snapshot;
+            event.u.feed.end = topic.end();
+            event.u.feed.count = records.size();
+            event.u.feed.records = records.data();
+        }
+        reduce(event);
+    }
+};
+
+#endif
