--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -3,9 +3,6 @@
 
 /* Whole answers are kept until they have ended; larger ones are an error. */
 #define Sl_MAX_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
-/* Answers of smaller models are passed on from this confidence on; chosen by
- * the table in docs/design/cascade-by-confidence.md. */
-#define Sl_ACCEPT_CONFIDENCE 65
 
 static struct sl_flight *
 flight_of(const struct sl_router *router, uint64_t token)
@@ -83,13 +80,31 @@
 wants_larger_model(const struct sl_flight *flight)
 {
     const struct sl_answer_head *head = &flight->exchange.head;
-    return SlStr_Equal(flight->ask.model, Sl_STR("*")) && is_success(head) &&
-           flight->state != Sl_FLIGHT_PASSING &&
+    return SlStr_Equal(flight->ask.model, Sl_STR("*")) &&
+           is_success(head) && flight->state != Sl_FLIGHT_PASSING &&
            flight->model + 1 < flight->route->model_count &&
-           head->confidence >= 0 && head->confidence < Sl_ACCEPT_CONFIDENCE &&
+           !SlModels_Accepts(flight, head->confidence) &&
            flight->runs + 1 < flight->route->max_attempts;
 }
 
+static void
+ask_larger_model(struct sl_router *router, struct sl_flight *flight)
+{
+    int confidence = flight->exchange.head.confidence;
+    size_t next = SlModels_Next(router, flight, confidence);
+    SlCalls_Cancel(router, flight);
+    flight->runs++;
+    flight->doubted_model = flight->model;
+    flight->doubted_confidence = confidence;
+    flight->model = next;
+    SlLine_Begin(router, "answer_doubted");
+    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_Int(router, "confidence", confidence);
+    SlLine_Str(router, "next_model", SlFlight_Model(flight));
+    SlLine_End(router, Sl_LOG_INFO);
+    SlWaiting_Add(router, flight);
+}
+
 void
 SlAnswers_OnHead(struct sl_router *router, uint64_t token,
                  const struct sl_answer_head *head)
@@ -109,11 +124,9 @@
     SlUpstreams_OnRead(router, exchange->upstream, exchange);
     log_head(router, flight);
     learn(router, flight);
+    SlModels_Learn(router, flight, head->confidence);
     if (wants_larger_model(flight)) {
-        SlCalls_Cancel(router, flight);
-        flight->runs++;
-        flight->model = flight->route->model_count - 1;
-        SlWaiting_Add(router, flight);
+        ask_larger_model(router, flight);
     }
 }
 
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -296,7 +296,7 @@
     flight->may_repeat = route->kind == Sl_ROUTE_IDEMPOTENT ||
                          (route->kind == Sl_ROUTE_STREAM && route->resumable);
     flight->last_event = ask->last_event;
-    flight->model = 0;
+    flight->doubted_confidence = -1;
     g_hash_table_insert(router->flights, &flight->conn, flight);
     flight->timer = SlTimers_Subscribe(router->timers, flight->deadline_us,
                                        on_deadline, router, flight->conn);
--- /dev/null
+++ b/lib/router/sl_models.c
@@ -0,0 +1,97 @@
+/*
+ * Which of a route's models answers: the smallest first, and a larger one
+ * when its confidence in the answer is low. Answers requests of unlike
+ * difficulty, of which small models answer most, and load: the largest model
+ * reads a prompt several times as long as the others.
+ *
+ * How sure a larger model will be is learned from pairs of answers to the same
+ * request, by steps of the smaller one's confidence. The next model is the
+ * smallest that is expected to be sure enough; the largest has the last word.
+ */
+#include "sl_router_internal.h"
+
+/* An answer is passed on from this confidence on; see the table in
+ * docs/design/cascade-by-confidence.md. */
+#define Sl_ACCEPT_CONFIDENCE 55
+/* A second answer is passed on from here: a third run costs more than the
+ * doubt. */
+#define Sl_ACCEPT_SECOND 40
+/* Until it is learned, the next model is this much surer. */
+#define Sl_FIRST_GAIN 10.0
+/* Weight of one new pair. */
+#define Sl_GAIN_WEIGHT 0.05
+
+struct sl_gain *
+SlModels_NewGain(void)
+{
+    struct sl_gain *gain = g_new0(struct sl_gain, 1);
+    for (size_t i = 0; i < Sl_CONFIDENCE_STEPS; i++) {
+        gain->steps[i] = Sl_FIRST_GAIN;
+    }
+    return gain;
+}
+
+/* What is known of the second model's gain over the first. */
+static struct sl_gain *
+gain_of(struct sl_router *router, const struct sl_name *first,
+        const struct sl_name *second)
+{
+    char key[2 * Sl_NAME_MAX_BYTES + 2];
+    g_snprintf(key, sizeof(key), "%s %s", first->text, second->text);
+    struct sl_gain *gain = g_hash_table_lookup(router->gains, key);
+    if (gain == NULL) {
+        gain = SlModels_NewGain();
+        g_hash_table_insert(router->gains, g_strdup(key), gain);
+    }
+    return gain;
+}
+
+static size_t
+step_of(int confidence)
+{
+    return MIN((size_t)confidence * Sl_CONFIDENCE_STEPS / 100,
+               (size_t)Sl_CONFIDENCE_STEPS - 1);
+}
+
+bool
+SlModels_Accepts(const struct sl_flight *flight, int confidence)
+{
+    bool is_first = flight->doubted_confidence < 0;
+    return confidence < 0 || /* it says nothing */
+           confidence >= (is_first ? Sl_ACCEPT_CONFIDENCE : Sl_ACCEPT_SECOND);
+}
+
+size_t
+SlModels_Next(struct sl_router *router, const struct sl_flight *flight,
+              int confidence)
+{
+    const struct sl_route *route = flight->route;
+    size_t last = route->model_count - 1;
+    if (flight->doubted_confidence >= 0) {
+        return last; /* one more attempt is left at most */
+    }
+    for (size_t next = flight->model + 1; next < last; next++) {
+        const struct sl_gain *gain = gain_of(
+            router, &route->models[flight->model], &route->models[next]);
+        if (confidence + gain->steps[step_of(confidence)] >=
+            Sl_ACCEPT_CONFIDENCE) {
+            return next;
+        }
+    }
+    return last;
+}
+
+void
+SlModels_Learn(struct sl_router *router, const struct sl_flight *flight,
+               int confidence)
+{
+    if (flight->doubted_confidence < 0 || confidence < 0) {
+        return;
+    }
+    struct sl_gain *gain =
+        gain_of(router, &flight->route->models[flight->doubted_model],
+                &flight->route->models[flight->model]);
+    double *step = &gain->steps[step_of(flight->doubted_confidence)];
+    double seen = confidence - flight->doubted_confidence;
+    *step += Sl_GAIN_WEIGHT * (seen - *step);
+}
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -4,6 +4,7 @@
  * sl_router.c     dispatcher of events, start, drain, timers
  * sl_feeds.c      following the store's topics
  * sl_digests.c    telling the other routers, and hearing from them
+ * sl_models.c     which model answers
  * sl_answers.c    what upstreams answer, and what follows
  * sl_flight.c     a request from its arrival to its end
  * sl_waiting.c    flights that wait for an upstream
@@ -68,6 +69,15 @@
     double us_per_token; /* of the prompt, where it is not cached */
 };
 
+/* ---- models ---- */
+
+#define Sl_CONFIDENCE_STEPS 10
+
+/* How much surer one model is than another, by the other's confidence. */
+struct sl_gain {
+    double steps[Sl_CONFIDENCE_STEPS];
+};
+
 /* ---- peers ---- */
 
 struct sl_router_peer {
@@ -183,6 +193,8 @@
     uint64_t session;
     uint64_t subject; /* what its prompt begins with */
     size_t model;     /* index in the route's models */
+    size_t doubted_model;   /* whose answer was not passed on */
+    int doubted_confidence; /* in that answer; -1: there was none */
     int64_t runs;     /* attempts that ran or may have run */
     int64_t tries;    /* attempts that were sent or tried */
     bool may_repeat;
@@ -240,6 +252,7 @@
 
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
+    GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
     GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
     bool peers_changed;    /* the sums at upstreams are out of date */
@@ -422,6 +435,18 @@
 void SlWaiting_Remove(struct sl_router *router, struct sl_flight *flight);
 /* Sends what can go now. */
 void SlWaiting_Run(struct sl_router *router);
+/* ---- models ---- */
+
+struct sl_gain *SlModels_NewGain(void);
+/* Is an answer of this confidence (-1: none told) passed on? */
+bool SlModels_Accepts(const struct sl_flight *flight, int confidence);
+/* The model to ask after an answer that was not. */
+size_t SlModels_Next(struct sl_router *router, const struct sl_flight *flight,
+                     int confidence);
+/* A model has answered a request that another one doubted. */
+void SlModels_Learn(struct sl_router *router, const struct sl_flight *flight,
+                    int confidence);
+
 /* ---- calls ---- */
 
 void SlCalls_Send(struct sl_router *router, struct sl_flight *flight,
