--- a/lib/policy/sl_budget.c
+++ b/lib/common/sl_budget.c
@@ -1,5 +1,5 @@
 /* Retry budget: a token bucket filled by first attempts. */
-#include "sl_policy.h"
+#include "sl_common.h"
 
 struct sl_budget
 SlBudget_New(double share, double max_tokens)
--- a/lib/common/sl_common.h
+++ b/lib/common/sl_common.h
@@ -11,6 +11,7 @@
  *   7. Log          JSON lines
  *   8. JSON         checked access to members, with errors naming the key
  *   9. Outside      values that outside systems give and take
+ *  10. Budget       retries as a share of traffic
  *
  * Nothing here reads a clock, a socket or a random source, but for SlLog_*,
  * which is used by the programs only.
@@ -318,4 +319,20 @@
     uint64_t fence; /* fencing number */
 };
 
+/* ---- 10. Budget ------------------------------------------------------- */
+
+/* A token bucket: each first attempt adds `share`, each retry takes 1. In any
+ * span of time there are at most `share` retries a first attempt, and
+ * `max_tokens` more. */
+struct sl_budget {
+    double tokens;
+    double share;
+    double max_tokens;
+};
+
+struct sl_budget SlBudget_New(double share, double max_tokens);
+void SlBudget_OnFirst(struct sl_budget *budget);
+/* Takes a token; false when there is none left. */
+bool SlBudget_Take(struct sl_budget *budget);
+
 #endif
--- a/lib/policy/sl_policy.h
+++ b/lib/policy/sl_policy.h
@@ -6,33 +6,18 @@
  * of function pointers, so that a baseline runs in the same place as ours.
  *
  * Sections, from simple to advanced:
- *   1. Budget    retries as a share of traffic
- *   2. Chooser   which upstream
- *   3. Limit     how many requests an upstream bears, cold or warm
- *   4. Queue     what runs next at an agent
- *   5. Evidence  fleet-wide counts per version, and which are suspect
- *   6. Cascade   which version to start at, and whether to go on
+ *   1. Chooser   which upstream
+ *   2. Limit     how many requests an upstream bears, cold or warm
+ *   3. Queue     what runs next at an agent
+ *   4. Evidence  fleet-wide counts per version, and which are suspect
+ *   5. Cascade   which version to start at, and whether to go on
  */
 #ifndef Sl_POLICY_H
 #define Sl_POLICY_H
 
 #include "sl_config.h"
 
-/* ---- 1. Budget -------------------------------------------------------- */
-
-/* A token bucket: each first attempt adds `share`, each retry takes 1. */
-struct sl_budget {
-    double tokens;
-    double share;
-    double max_tokens;
-};
-
-struct sl_budget SlBudget_New(double share, double max_tokens);
-void SlBudget_OnFirst(struct sl_budget *budget);
-/* Takes a token; false when there is none left. */
-bool SlBudget_Take(struct sl_budget *budget);
-
-/* ---- 2. Chooser ------------------------------------------------------- */
+/* ---- 1. Chooser ------------------------------------------------------- */
 
 /* What an entry knows of one upstream that could take the request. */
 struct sl_candidate {
@@ -65,7 +50,7 @@
 /* Every rule, the one in use first; ends with NULL. */
 extern const struct sl_chooser *const SlChooser_All[];
 
-/* ---- 3. Limit --------------------------------------------------------- */
+/* ---- 2. Limit --------------------------------------------------------- */
 
 struct sl_limit_options {
     int64_t cold_limit;
@@ -101,7 +86,7 @@
 /* 0 while cold, up to 1 at the warm limit: what an agent reports. */
 double SlLimit_Warmth(const struct sl_limit *limit);
 
-/* ---- 4. Queue --------------------------------------------------------- */
+/* ---- 3. Queue --------------------------------------------------------- */
 
 struct sl_queued {
     uint64_t id; /* caller's own */
@@ -161,7 +146,7 @@
                                   const struct sl_queued *item,
                                   const struct sl_admission_ask *ask);
 
-/* ---- 5. Evidence ------------------------------------------------------ */
+/* ---- 4. Evidence ------------------------------------------------------ */
 
 /* Cumulative counts of one version, added up over agents. */
 struct sl_tally {
@@ -214,7 +199,7 @@
  * first, and its counts stay in the totals. */
 size_t SlEvidence_Agents(const struct sl_evidence *evidence);
 
-/* ---- 6. Cascade ------------------------------------------------------- */
+/* ---- 5. Cascade ------------------------------------------------------- */
 
 /* One step that the request's selector allows and that is in service. */
 struct sl_step {
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -77,14 +77,15 @@
 
 /* Is the answer of a small model too doubtful to be passed on? */
 static bool
-wants_larger_model(const struct sl_flight *flight)
+wants_larger_model(struct sl_router *router, const struct sl_flight *flight)
 {
     const struct sl_answer_head *head = &flight->exchange.head;
-    return SlStr_Equal(flight->ask.model, Sl_STR("*")) &&
-           is_success(head) && flight->state != Sl_FLIGHT_PASSING &&
+    return SlStr_Equal(flight->ask.model, Sl_STR("*")) && is_success(head) &&
+           flight->state != Sl_FLIGHT_PASSING &&
            flight->model + 1 < flight->route->model_count &&
            !SlModels_Accepts(flight, head->confidence) &&
-           flight->runs + 1 < flight->route->max_attempts;
+           flight->runs + 1 < flight->route->max_attempts &&
+           SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_DOUBT);
 }
 
 static void
@@ -125,7 +126,7 @@
     log_head(router, flight);
     learn(router, flight);
     SlModels_Learn(router, flight, head->confidence);
-    if (wants_larger_model(flight)) {
+    if (wants_larger_model(router, flight)) {
         ask_larger_model(router, flight);
     }
 }
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -95,12 +95,17 @@
     if (may_have_run) {
         flight->runs++;
     }
-    bool allowed = flight->may_repeat || flight->runs == 0;
-    if (allowed && flight->runs < flight->route->max_attempts &&
-        flight->tries < Sl_MAX_TRIES) {
+    bool allowed = (flight->may_repeat || flight->runs == 0) &&
+                   flight->runs < flight->route->max_attempts &&
+                   flight->tries < Sl_MAX_TRIES;
+    if (allowed &&
+        SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_FAILURE)) {
         SlWaiting_Add(router, flight);
         return;
     }
+    if (allowed) {
+        SlRouter_Count(router, "repeats_over_budget");
+    }
     bool ran = flight->runs > 0;
     SlFlight_Fail(router, flight, ran ? 502 : 503, step, reason, ran,
                   ran ? 0 : Sl_RETRY_AFTER_US);
@@ -124,24 +129,21 @@
 
 /* ---- arrival ---- */
 
-/* Copies what the views of `ask` point to into the flight's own text. */
-static void
-keep_ask(struct sl_flight *flight, const struct sl_ask *ask)
+void
+SlAsk_Keep(struct sl_ask *ask, struct sl_buf *text)
 {
-    flight->ask = *ask;
     struct sl_str *const views[] = {
-        &flight->ask.id,      &flight->ask.method,  &flight->ask.target,
-        &flight->ask.host,    &flight->ask.key,     &flight->ask.model,
-        &flight->ask.session, &flight->ask.headers, &flight->ask.body,
+        &ask->id,    &ask->method,  &ask->target,  &ask->host, &ask->key,
+        &ask->model, &ask->session, &ask->headers, &ask->body,
     };
     size_t starts[G_N_ELEMENTS(views)];
     for (size_t i = 0; i < G_N_ELEMENTS(views); i++) {
-        starts[i] = flight->text.len;
-        SlBuf_Append(&flight->text, *views[i]);
+        starts[i] = text->len;
+        SlBuf_Append(text, *views[i]);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(views); i++) {
         if (views[i]->len > 0) {
-            views[i]->ptr = flight->text.ptr + starts[i];
+            views[i]->ptr = text->ptr + starts[i];
         }
     }
 }
@@ -287,7 +289,8 @@
     flight->team = team;
     flight->session = session;
     flight->subject = subject_of(ask);
-    keep_ask(flight, ask);
+    flight->ask = *ask;
+    SlAsk_Keep(&flight->ask, &flight->text);
     flight->order = ++router->last_order;
     flight->arrived_us = router->now_us;
     flight->deadline_us = deadline_of(router, ask, route);
@@ -300,6 +303,7 @@
     g_hash_table_insert(router->flights, &flight->conn, flight);
     flight->timer = SlTimers_Subscribe(router->timers, flight->deadline_us,
                                        on_deadline, router, flight->conn);
+    SlRepeats_OnFirst(router, &service->name);
     log_arrival(router, flight);
     SlWaiting_Add(router, flight);
 }
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -31,11 +31,14 @@
                                             SlFlight_Free);
     router->by_token = g_hash_table_new(g_int64_hash, g_int64_equal);
     router->queue = g_queue_new();
+    router->early = g_queue_new();
     router->by_key = g_hash_table_new(NULL, NULL);
     router->paces = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
                                           g_free, g_free);
     router->gains =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    router->budgets = g_hash_table_new_full(SlName_TableHash,
+                                            SlName_TableEqual, g_free, g_free);
     router->rollouts = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, NULL, SlRollouts_Free);
     router->statuses = g_hash_table_new_full(SlName_TableHash,
@@ -55,9 +58,11 @@
     }
     SlFeeds_Free(router);
     g_queue_free(router->queue);
+    g_queue_free_full(router->early, SlEarly_Free);
     g_hash_table_destroy(router->peers);
     g_hash_table_destroy(router->statuses);
     g_hash_table_destroy(router->rollouts);
+    g_hash_table_destroy(router->budgets);
     g_hash_table_destroy(router->gains);
     g_hash_table_destroy(router->paces);
     g_hash_table_destroy(router->by_key);
@@ -174,9 +179,12 @@
         SlLine_End(router, Sl_LOG_INFO);
         break;
     case Sl_REV_REQUEST:
-        SlFlight_Start(router, &event->u.ask);
+        if (!SlEarly_IsEarly(router) || !SlEarly_Hold(router, &event->u.ask)) {
+            SlFlight_Start(router, &event->u.ask);
+        }
         break;
     case Sl_REV_CALLER_GONE:
+        SlEarly_OnGone(router, event->u.conn);
         SlFlight_OnGone(router, event->u.conn);
         break;
     case Sl_REV_ANSWER_HEAD:
@@ -230,6 +238,7 @@
     SlTimers_Run(router->timers, router->now_us);
     dispatch(router, event);
     SlUpstreams_Expire(router);
+    SlEarly_Run(router);
     if (router->capacity_changed && router->queue->length > 0) {
         SlWaiting_Run(router);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -3,7 +3,9 @@
  *
  * sl_router.c     dispatcher of events, start, drain, timers
  * sl_feeds.c      following the store's topics
+ * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
+ * sl_repeats.c    the fleet's budget of repeats
  * sl_models.c     which model answers
  * sl_answers.c    what upstreams answer, and what follows
  * sl_flight.c     a request from its arrival to its end
@@ -191,12 +193,12 @@
     int64_t deadline_us; /* the caller leaves, or the route's time is over */
     int64_t priority;
     uint64_t session;
-    uint64_t subject; /* what its prompt begins with */
-    size_t model;     /* index in the route's models */
+    uint64_t subject;       /* what its prompt begins with */
+    size_t model;           /* index in the route's models */
     size_t doubted_model;   /* whose answer was not passed on */
     int doubted_confidence; /* in that answer; -1: there was none */
-    int64_t runs;     /* attempts that ran or may have run */
-    int64_t tries;    /* attempts that were sent or tried */
+    int64_t runs;           /* attempts that ran or may have run */
+    int64_t tries;          /* attempts that were sent or tried */
     bool may_repeat;
     int64_t last_event; /* the newest one the caller has; -1: none */
     size_t tried_count;
@@ -253,6 +255,7 @@
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
     GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
+    GHashTable *budgets;   /* service name -> struct sl_budget, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
     GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
     bool peers_changed;    /* the sums at upstreams are out of date */
@@ -265,6 +268,7 @@
     uint64_t digest_sequence;
     GHashTable *flights;   /* conn -> struct sl_flight, owned */
     GHashTable *by_token;  /* call token -> struct sl_flight */
+    GQueue *early;         /* struct sl_early, owned */
     GQueue *queue;         /* waiting flights, most urgent first */
     uint64_t look_timer;   /* to look at the queue again */
     bool capacity_changed; /* waiting flights may find a place now */
@@ -425,8 +429,22 @@
                                        const struct sl_flight *flight,
                                        int64_t *wait_us);
 
+/* ---- early requests ---- */
+
+/* Is there no configuration, or no list of upstreams yet? */
+bool SlEarly_IsEarly(const struct sl_router *router);
+/* Keeps a request until there is; false when it must be refused. */
+bool SlEarly_Hold(struct sl_router *router, const struct sl_ask *ask);
+void SlEarly_OnGone(struct sl_router *router, uint64_t conn);
+/* Starts what was kept, once it can be, or is refused. */
+void SlEarly_Run(struct sl_router *router);
+void SlEarly_Free(gpointer early);
+
 /* ---- flights ---- */
 
+/* Copies what the views of `ask` point to into `text`, which they point to
+ * from then on. */
+void SlAsk_Keep(struct sl_ask *ask, struct sl_buf *text);
 void SlFlight_Start(struct sl_router *router, const struct sl_ask *ask);
 void SlFlight_OnGone(struct sl_router *router, uint64_t conn);
 void SlFlight_Free(gpointer flight);
@@ -435,6 +453,21 @@
 void SlWaiting_Remove(struct sl_router *router, struct sl_flight *flight);
 /* Sends what can go now. */
 void SlWaiting_Run(struct sl_router *router);
+/* ---- repeats ---- */
+
+enum sl_repeat_reason {
+    Sl_REPEAT_FAILURE,
+    Sl_REPEAT_DOUBT, /* another model may know better */
+};
+
+/* A request for the service has come. */
+void SlRepeats_OnFirst(struct sl_router *router,
+                       const struct sl_name *service);
+/* May a request be sent to the service once more? Takes it from the budget. */
+bool SlRepeats_Take(struct sl_router *router, const struct sl_name *service,
+                    enum sl_repeat_reason reason);
+double SlRepeats_Left(struct sl_router *router, const struct sl_name *service);
+
 /* ---- models ---- */
 
 struct sl_gain *SlModels_NewGain(void);
