Calls that fall silent are moved while their objective can still be met

Cause: runners that take requests and never answer some of them held these to their deadlines; dark ones held streams until the connection's probes failed.

--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -47,6 +47,13 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+static void
+note_bytes(struct sl_router *router, struct sl_exchange *exchange)
+{
+    exchange->last_bytes_us = router->now_us;
+    exchange->upstream->bytes_us = router->now_us;
+}
+
 /* An answer that took several times as long as guessed counts as bad for its
  * version; short ones vary by more. */
 #define Sl_SLOW_FACTOR 3
@@ -116,7 +123,7 @@
     }
     struct sl_exchange *exchange = &flight->exchange;
     exchange->has_head = true;
-    exchange->last_bytes_us = router->now_us;
+    note_bytes(router, exchange);
     exchange->head = *head;
     SlBuf_Clear(&exchange->headers);
     SlBuf_Append(&exchange->headers, head->headers);
@@ -170,7 +177,7 @@
         return;
     }
     struct sl_exchange *exchange = &flight->exchange;
-    exchange->last_bytes_us = router->now_us;
+    note_bytes(router, exchange);
     if (is_stream(flight) && is_success(&exchange->head)) {
         /* What was given out the last time is not needed any more. */
         SlEvents_Drop(&exchange->events, exchange->events_taken);
@@ -287,13 +294,97 @@
         return;
     }
     /* A failure of the upstream's own: it ran. */
-    bool can_repeat =
-        flight->may_repeat && flight->runs + 1 < flight->route->max_attempts;
+    mark_tried(flight, flight->exchange.upstream);
     SlCalls_Detach(router, flight);
-    if (can_repeat || is_garbled(head) || flight->state == Sl_FLIGHT_PASSING) {
+    if (is_garbled(head) || flight->state == Sl_FLIGHT_PASSING) {
         SlFlight_Again(router, flight, true, "upstream.call",
                        "the upstream failed");
+    }
+    else if (!SlFlight_TryAgain(router, flight, true)) {
+        finish(router, flight); /* with the upstream's own words */
+    }
+}
+
+/* ---- silence ---- */
+
+/* A silent call that has nowhere else to go is looked at again after this. */
+#define Sl_WATCH_AGAIN_US (300 * Sl_US_PER_MS)
+
+/* Gives the silent call up, if the flight can go on elsewhere. */
+static void
+move(struct sl_router *router, struct sl_flight *flight)
+{
+    struct sl_upstream *upstream = flight->exchange.upstream;
+    bool is_dark = upstream->bytes_us <= flight->exchange.last_bytes_us;
+    int64_t wait_us;
+    const struct sl_upstream *other =
+        SlPlacement_Choose(router, flight, &wait_us);
+    if (other == NULL || other == upstream) {
+        flight->exchange.watch_after_us = router->now_us + Sl_WATCH_AGAIN_US;
+        SlWatch_Note(router, flight);
+        return;
+    }
+    SlLine_Begin(router, "call_silent");
+    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_Name(router, "upstream", &upstream->reg.id);
+    SlLine_Int(router, "silent_ms",
+               (router->now_us - flight->exchange.last_bytes_us) /
+                   Sl_US_PER_MS);
+    SlLine_Int(router, "expected_ms",
+               flight->exchange.expected_us / Sl_US_PER_MS);
+    SlLine_Int(router, "upstream_dark", is_dark);
+    SlLine_Int(router, "last_event", flight->last_event);
+    SlLine_End(router, Sl_LOG_INFO);
+    SlRouter_Count(router, "calls_silent");
+    if (is_dark) {
+        SlUpstreams_OnFailure(router, upstream);
+    }
+    mark_tried(flight, upstream);
+    SlCalls_Cancel(router, flight);
+    SlFlight_Again(router, flight, true, "upstream.call",
+                   "the upstream fell silent");
+}
+
+static void
+on_watch(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    GPtrArray *silent = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    (void)id;
+    (void)now_us;
+    router->watch_timer = 0;
+    router->watch_due_us = Sl_NEVER_US;
+    g_hash_table_iter_init(&iter, router->flights);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_flight *flight = value;
+        if (flight->exchange.token == 0 || !SlWatch_MayMove(flight)) {
+            continue;
+        }
+        if (SlWatch_DueUs(router, flight) <= router->now_us) {
+            g_ptr_array_add(silent, flight);
+        }
+        else {
+            SlWatch_Note(router, flight);
+        }
+    }
+    for (guint i = 0; i < silent->len; i++) {
+        move(router, silent->pdata[i]);
+    }
+    g_ptr_array_free(silent, TRUE);
+}
+
+void
+SlAnswers_Watch(struct sl_router *router)
+{
+    if (router->watch_due_us == Sl_NEVER_US ||
+        (router->watch_timer != 0 &&
+         router->watch_timer_us <= router->watch_due_us)) {
         return;
     }
-    finish(router, flight);
+    SlTimers_Cancel(router->timers, router->watch_timer);
+    router->watch_timer_us = router->watch_due_us;
+    router->watch_timer = SlTimers_Subscribe(
+        router->timers, router->watch_due_us, on_watch, router, 0);
 }
--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -23,6 +23,7 @@
     exchange->upstream = upstream;
     exchange->sent_us = router->now_us;
     exchange->last_bytes_us = router->now_us;
+    exchange->watch_after_us = 0;
     exchange->has_head = false;
     SlBuf_Clear(&exchange->headers);
     SlBuf_Clear(&exchange->body);
@@ -35,6 +36,7 @@
     g_hash_table_insert(router->by_token, &exchange->token, flight);
     SlRollouts_OnSent(router, flight, upstream);
     SlUpstreams_OnSent(router, upstream, flight);
+    SlWatch_Note(router, flight);
 
     struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_CALL);
     struct sl_fx_upstream_call *call = &effect->u.call;
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -88,9 +88,9 @@
 
 /* ---- attempts ---- */
 
-void
-SlFlight_Again(struct sl_router *router, struct sl_flight *flight,
-               bool may_have_run, const char *step, const char *reason)
+bool
+SlFlight_TryAgain(struct sl_router *router, struct sl_flight *flight,
+                  bool may_have_run)
 {
     if (may_have_run) {
         flight->runs++;
@@ -98,17 +98,26 @@
     bool allowed = (flight->may_repeat || flight->runs == 0) &&
                    flight->runs < flight->route->max_attempts &&
                    flight->tries < Sl_MAX_TRIES;
-    if (allowed &&
-        SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_FAILURE)) {
-        SlWaiting_Add(router, flight);
-        return;
+    if (!allowed) {
+        return false;
     }
-    if (allowed) {
+    if (!SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_FAILURE)) {
         SlRouter_Count(router, "repeats_over_budget");
+        return false;
+    }
+    SlWaiting_Add(router, flight);
+    return true;
+}
+
+void
+SlFlight_Again(struct sl_router *router, struct sl_flight *flight,
+               bool may_have_run, const char *step, const char *reason)
+{
+    if (!SlFlight_TryAgain(router, flight, may_have_run)) {
+        bool ran = flight->runs > 0;
+        SlFlight_Fail(router, flight, ran ? 502 : 503, step, reason, ran,
+                      ran ? 0 : Sl_RETRY_AFTER_US);
     }
-    bool ran = flight->runs > 0;
-    SlFlight_Fail(router, flight, ran ? 502 : 503, step, reason, ran,
-                  ran ? 0 : Sl_RETRY_AFTER_US);
 }
 
 static void
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -96,7 +96,8 @@
         cost += (int64_t)((double)Sl_NOT_HOME_US * (double)(weight >> 11) *
                           0x1.0p-53);
     }
-    if (was_tried(flight, &upstream->reg.id)) {
+    if (was_tried(flight, &upstream->reg.id) ||
+        upstream == flight->exchange.upstream) {
         cost += Sl_TRIED_US;
     }
     return cost;
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -46,6 +46,7 @@
     router->peers = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
                                           NULL, g_free);
     router->started_us = options->now_us;
+    router->watch_due_us = Sl_NEVER_US;
     router->garbage = g_ptr_array_new_with_free_func(free_garbage);
     return router;
 }
@@ -242,6 +243,7 @@
     if (router->capacity_changed && router->queue->length > 0) {
         SlWaiting_Run(router);
     }
+    SlAnswers_Watch(router);
     if (router->loads_changed) {
         router->loads_changed = false;
         SlDigests_Soon(router);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -8,6 +8,7 @@
  * sl_repeats.c    the fleet's budget of repeats
  * sl_models.c     which model answers
  * sl_answers.c    what upstreams answer, and what follows
+ * sl_watch.c      calls that fall silent
  * sl_flight.c     a request from its arrival to its end
  * sl_waiting.c    flights that wait for an upstream
  * sl_calls.c      sending to upstreams
@@ -47,6 +48,7 @@
     int64_t shun_until_us; /* after failures */
     unsigned failures;     /* in a row */
     int64_t in_flight;     /* own */
+    int64_t bytes_us;      /* when it last sent anything, to any call */
     int64_t told_us;       /* when an answer last told its load; 0: never */
     int64_t told_load;     /* running and waiting, own ones included */
     int64_t sent_since;    /* own requests sent since that answer */
@@ -166,11 +168,12 @@
     struct sl_upstream *upstream;
     int64_t sent_us;
     int64_t last_bytes_us;
-    int64_t expected_us; /* to its head, as guessed when it was sent */
-    int64_t uncached;    /* prompt tokens that had to be read, as guessed */
-    bool is_unread;      /* the prompt is not read yet */
-    bool was_idle;       /* nothing else was to be read there before it */
-    bool at_base;        /* at a version that a roll-out leaves */
+    int64_t watch_after_us; /* it is not given up sooner; 0: no matter */
+    int64_t expected_us;    /* to its head, as guessed when it was sent */
+    int64_t uncached;       /* prompt tokens that had to be read, as guessed */
+    bool is_unread;         /* the prompt is not read yet */
+    bool was_idle;          /* nothing else was to be read there before it */
+    bool at_base;           /* at a version that a roll-out leaves */
     bool has_head;
     struct sl_answer_head head;
     struct sl_buf headers; /* to be passed on */
@@ -266,10 +269,13 @@
     bool loads_changed;    /* peers of the failure domain are told soon */
     uint64_t gossip_timer; /* to peers of the own failure domain, soon */
     uint64_t digest_sequence;
-    GHashTable *flights;   /* conn -> struct sl_flight, owned */
-    GHashTable *by_token;  /* call token -> struct sl_flight */
-    GQueue *early;         /* struct sl_early, owned */
-    GQueue *queue;         /* waiting flights, most urgent first */
+    GHashTable *flights;  /* conn -> struct sl_flight, owned */
+    GHashTable *by_token; /* call token -> struct sl_flight */
+    GQueue *early;        /* struct sl_early, owned */
+    GQueue *queue;        /* waiting flights, most urgent first */
+    int64_t watch_due_us; /* when a call under way may count as silent */
+    int64_t watch_timer_us;
+    uint64_t watch_timer;
     uint64_t look_timer;   /* to look at the queue again */
     bool capacity_changed; /* waiting flights may find a place now */
 
@@ -489,8 +495,20 @@
 /* Stops the call that is under way, if any. */
 void SlCalls_Cancel(struct sl_router *router, struct sl_flight *flight);
 
+/* ---- silent calls ---- */
+
+/* When the call under way counts as silent, as things stand. */
+int64_t SlWatch_DueUs(const struct sl_router *router,
+                      const struct sl_flight *flight);
+/* May the flight go on at another upstream? */
+bool SlWatch_MayMove(const struct sl_flight *flight);
+/* The call under way is watched from now on. */
+void SlWatch_Note(struct sl_router *router, const struct sl_flight *flight);
+
 /* ---- answers ---- */
 
+/* Sees to it that silent calls are found when they are due. */
+void SlAnswers_Watch(struct sl_router *router);
 void SlAnswers_OnHead(struct sl_router *router, uint64_t token,
                       const struct sl_answer_head *head);
 void SlAnswers_OnPiece(struct sl_router *router, uint64_t token,
@@ -508,6 +526,10 @@
                    int64_t retry_after_us);
 /* Removes a flight whose answer has ended. */
 void SlFlight_End(struct sl_router *router, struct sl_flight *flight);
+/* Sends the flight to another upstream, if it may and the budget of repeats
+ * allows. */
+bool SlFlight_TryAgain(struct sl_router *router, struct sl_flight *flight,
+                       bool may_have_run);
 /* Tries another upstream, or fails with what is known. */
 void SlFlight_Again(struct sl_router *router, struct sl_flight *flight,
                     bool may_have_run, const char *step, const char *reason);
