--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -12,7 +12,7 @@
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
 
-#define Sl_DIGEST_FIELDS 9
+#define Sl_DIGEST_FIELDS 10
 #define Sl_LOAD_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 5
 #define Sl_TALLY_FIELDS 5
@@ -68,6 +68,7 @@
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         msgpack_pack_uint64(packer, digest->offsets[i]);
     }
+    msgpack_pack_uint32(packer, digest->store_age_ms);
     msgpack_pack_array(packer, loads);
     for (size_t i = 0; i < loads; i++) {
         msgpack_pack_array(packer, Sl_LOAD_FIELDS);
@@ -224,6 +225,7 @@
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = next_uint(&offsets);
     }
+    digest->store_age_ms = next_uint32(&fields);
     struct sl_items loads = next_array(&fields, Sl_GOSSIP_MAX_LOADS);
     while (loads.ok && loads.left > 0) {
         if (!decode_load(next_array(&loads, Sl_LOAD_FIELDS),
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -65,6 +65,7 @@
     uint64_t sequence; /* grows by one with each datagram of this boot */
     bool leaving;
     uint64_t offsets[Sl_GOSSIP_FEEDS]; /* next record of each feed */
+    uint32_t store_age_ms; /* since the store last answered the sender */
     size_t load_count;
     struct sl_gossip_load loads[Sl_GOSSIP_MAX_LOADS];
     size_t rollout_count;
--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -61,7 +61,8 @@
     SlLine_Int(router, "try", flight->tries);
     SlLine_Int(router, "runs_before", flight->runs);
     SlLine_Int(router, "repeats_left",
-               (int64_t)SlRepeats_Left(router, &flight->service->name));
+               (int64_t)SlRepeats_Left(router, &flight->service->name,
+                                       Sl_REPEAT_FAILURE));
     SlLine_Int(router, "load", SlUpstreams_Load(router, upstream));
     SlLine_Int(router, "load_age_ms",
                upstream->told_us == 0
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -12,7 +12,7 @@
 #define Sl_SILENT_BEAT_US (5 * Sl_US_PER_S)
 /* Member records are read again this often: routers that started without
  * hearing of each other meet through them. */
-#define Sl_MEMBERS_AGAIN_US (15 * Sl_US_PER_S)
+#define Sl_MEMBERS_AGAIN_US (60 * Sl_US_PER_S)
 
 /* ---- digests ---- */
 
@@ -49,6 +49,7 @@
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = router->feeds[i].next;
     }
+    digest->store_age_ms = SlFeeds_StoreAgeMs(router);
     fill_loads(router, digest);
     digest->rollout_count = 0;
     SlRollouts_Tell(router, digest);
@@ -151,20 +152,13 @@
 
 /* ---- members ---- */
 
-static void
-read_members(struct sl_router *router)
-{
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_READ_NEWEST);
-    effect->u.read.feed = Sl_FEED_MEMBERS;
-}
-
 static void
 on_members_again(void *context, uint64_t id, int64_t now_us)
 {
     struct sl_router *router = context;
     (void)id;
     (void)now_us;
-    read_members(router);
+    SlFeeds_Read(router, Sl_FEED_MEMBERS);
     SlTimers_Subscribe(router->timers, router->now_us + Sl_MEMBERS_AGAIN_US,
                        on_members_again, router, 0);
 }
@@ -197,5 +191,5 @@
     }
     /* After the own record is there: of two routers that start at once, at
      * least one then finds the other. */
-    read_members(router);
+    SlFeeds_Read(router, Sl_FEED_MEMBERS);
 }
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -6,10 +6,12 @@
  * store no longer has the next record, the feed starts anew. Offsets order
  * everything: a record that is older than what is known changes nothing.
  *
- * The store may refuse one router while it serves the others, and a read that
- * waits may miss the news. Peers say how far they have read: one that is
- * behind them reads again at once, or, while the store refuses it, takes the
- * records from a peer.
+ * Not every router reads the store: in each failure domain a few do, chosen by
+ * hash among those that live, and the others take the records from them. The
+ * store may refuse one router while it serves the others, and a read that
+ * waits may miss the news. Peers say how far they have read: a reader that is
+ * behind reads again at once, or, while the store refuses it, takes the
+ * records from a peer. A router that hears of nothing new reads for itself.
  */
 #include "sl_router_internal.h"
 
@@ -17,25 +19,33 @@
 #define Sl_READ_RETRY_US (200 * Sl_US_PER_MS)
 
 /* Pause between pulls from peers. */
-#define Sl_PULL_PAUSE_US (300 * Sl_US_PER_MS)
+#define Sl_PULL_PAUSE_US (100 * Sl_US_PER_MS)
+/* Routers of a failure domain that read the store. With one only, its end
+ * would keep the others without news until they notice. */
+#define Sl_READERS 2
+/* A router reads for itself when no reader of its failure domain has had an
+ * answer of the store for so long: a read's wait, its answer and a digest. */
+#define Sl_READER_AGE_MS 2500
+#define Sl_READER_CHECK_US (300 * Sl_US_PER_MS)
 /* News reach routers at times that differ by less than this. */
 #define Sl_BEHIND_US (200 * Sl_US_PER_MS)
 /* A router without live peers hears of missed news from nobody. */
 #define Sl_LONE_WAIT_US Sl_US_PER_S
 
 /* What the feeds are read for, and how often. The pause bounds the number of
- * reads of a topic that changes all the time; it adds to the age of news.
- * Registrations change all the time, so a read of them that stays without an
- * answer is the first sign that the store is away; the others wait longer. */
+ * reads of a topic that changes all the time; it adds to the age of news. The
+ * operators' feed is the pulse: a read of it that stays without an answer is
+ * the first sign that the store is away, so it waits only shortly. */
 static const struct sl_feed_rule {
     const char *name;
     int64_t pause_us; /* between the end of a read and the next */
     int64_t wait_us;  /* at the store, for news */
     bool follow;      /* read on behind the snapshot */
 } rules[Sl_FEED_COUNT] = {
-    [Sl_FEED_OPERATORS] = {"operators", 150 * Sl_US_PER_MS, 5 * Sl_US_PER_S,
+    [Sl_FEED_OPERATORS] = {"operators", 150 * Sl_US_PER_MS,
+                           1500 * Sl_US_PER_MS, true},
+    [Sl_FEED_UPSTREAMS] = {"upstreams", 500 * Sl_US_PER_MS, 10 * Sl_US_PER_S,
                            true},
-    [Sl_FEED_UPSTREAMS] = {"upstreams", 700 * Sl_US_PER_MS, Sl_US_PER_S, true},
     [Sl_FEED_STATUS] = {"status", 150 * Sl_US_PER_MS, 10 * Sl_US_PER_S, true},
     [Sl_FEED_MEMBERS] = {"members", Sl_US_PER_S, Sl_US_PER_S, false},
 };
@@ -63,13 +73,58 @@
                                  : MIN(rules[feed].wait_us, Sl_LONE_WAIT_US);
 }
 
+static void read_after(struct sl_router *router, enum sl_feed feed,
+                       int64_t after_us);
+
+uint32_t
+SlFeeds_StoreAgeMs(const struct sl_router *router)
+{
+    if (router->store_seen_us == 0) {
+        return UINT32_MAX;
+    }
+    int64_t age_us = router->now_us - router->store_seen_us;
+    return (uint32_t)MIN(age_us / Sl_US_PER_MS, (int64_t)UINT32_MAX - 1);
+}
+
+/* Does a peer of the failure domain read the store, with success? */
+static bool
+has_reader(const struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        int64_t age_ms = peer->digest.store_age_ms +
+                         (router->now_us - peer->heard_us) / Sl_US_PER_MS;
+        if (SlPeers_IsLive(router, peer) && age_ms < Sl_READER_AGE_MS &&
+            SlName_Equal(&peer->digest.domain, &router->options.domain)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Do others of the failure domain read the store for this router? */
+static bool
+is_handed_news(const struct sl_router *router)
+{
+    return SlPeers_DomainRank(router, Sl_STR("readers")) >= Sl_READERS &&
+           has_reader(router);
+}
+
 static void
 on_read_due(void *context, uint64_t id, int64_t now_us)
 {
     struct sl_router *router = context;
     (void)now_us;
     router->feeds[id].timer = 0;
-    read_feed(router, (enum sl_feed)id);
+    if (router->feeds[id].synced && is_handed_news(router)) {
+        read_after(router, (enum sl_feed)id, Sl_READER_CHECK_US);
+    }
+    else {
+        read_feed(router, (enum sl_feed)id);
+    }
 }
 
 static void
@@ -82,6 +137,15 @@
                            on_read_due, router, (uint64_t)feed);
 }
 
+void
+SlFeeds_Read(struct sl_router *router, enum sl_feed feed)
+{
+    const struct sl_feed_state *state = &router->feeds[feed];
+    if (!state->reading && state->timer == 0) {
+        read_feed(router, feed);
+    }
+}
+
 static void
 free_kept(gpointer data)
 {
@@ -271,6 +335,10 @@
     for (size_t i = 0; i < event->u.feed.count; i++) {
         take_record(router, feed, &event->u.feed.records[i]);
     }
+    if (event->u.feed.end > state->next) {
+        /* Peers of the failure domain may wait for it. */
+        router->loads_changed = true;
+    }
     state->synced = true;
     state->behind_us = 0;
     state->next = MAX(state->next, event->u.feed.end);
@@ -334,6 +402,7 @@
         on_failed(router, feed, event->err);
         return;
     }
+    router->store_seen_us = router->now_us;
     on_back(router, feed);
     if (event->u.feed.truncated) {
         SlLine_Begin(router, "feed_restarted");
@@ -386,6 +455,9 @@
 {
     struct sl_feed_state *state = &router->feeds[event->u.feed.feed];
     state->pulling = false;
+    if (event->err == NULL && event->u.feed.end <= state->next) {
+        return; /* nothing new */
+    }
     SlLine_Begin(router, event->err == NULL ? "pulled" : "pull_failed");
     SlLine_C(router, "feed", SlFeed_Name(event->u.feed.feed));
     if (event->err != NULL) {
@@ -396,11 +468,31 @@
         SlLine_Int(router, "end", (int64_t)event->u.feed.end);
     }
     SlLine_End(router, Sl_LOG_INFO);
-    if (event->err == NULL && event->u.feed.end > state->next) {
+    if (event->err == NULL) {
+        if (state->fail_since_us != 0) {
+            /* The store is back for the peer: what lapsed may come back. */
+            router->store_back_us = router->now_us;
+        }
         take_page(router, event);
     }
 }
 
+static void
+pull(struct sl_router *router, enum sl_feed feed,
+     const struct sl_gossip *digest)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (state->pulling || router->now_us < state->pull_us) {
+        return;
+    }
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_PULL);
+    effect->u.pull.address = digest->address;
+    effect->u.pull.feed = feed;
+    effect->u.pull.from = state->synced ? state->next : 0;
+    state->pulling = true;
+    state->pull_us = router->now_us + Sl_PULL_PAUSE_US;
+}
+
 static void
 catch_up(struct sl_router *router, enum sl_feed feed,
          const struct sl_gossip *digest)
@@ -421,26 +513,24 @@
         }
         return;
     }
-    if (state->pulling || router->now_us < state->pull_us) {
-        return;
-    }
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_PULL);
-    effect->u.pull.address = digest->address;
-    effect->u.pull.feed = feed;
-    effect->u.pull.from = state->synced ? state->next : 0;
-    state->pulling = true;
-    state->pull_us = router->now_us + Sl_PULL_PAUSE_US;
+    pull(router, feed, digest);
 }
 
 void
 SlFeeds_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
 {
+    bool is_handed = is_handed_news(router) &&
+                     SlName_Equal(&digest->domain, &router->options.domain);
     for (int i = 0; i < Sl_GOSSIP_FEEDS; i++) {
-        /* Registrations change all the time; a read of them is under way. */
-        bool moves =
-            i == Sl_FEED_UPSTREAMS && router->feeds[i].fail_since_us == 0;
-        if (!moves && digest->offsets[i] > router->feeds[i].next) {
-            catch_up(router, (enum sl_feed)i, digest);
+        enum sl_feed feed = (enum sl_feed)i;
+        if (digest->offsets[i] <= router->feeds[i].next) {
+            continue;
+        }
+        if (is_handed) {
+            pull(router, feed, digest);
+        }
+        else {
+            catch_up(router, feed, digest);
         }
     }
 }
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -44,8 +44,8 @@
     return live;
 }
 
-size_t
-SlPeers_Rank(const struct sl_router *router, struct sl_str key)
+static size_t
+rank_of(const struct sl_router *router, struct sl_str key, bool in_domain)
 {
     uint64_t own = SlHash_Rendezvous(key, SlName_Str(&router->options.vm));
     size_t rank = 0;
@@ -54,14 +54,30 @@
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_router_peer *peer = value;
-        if (SlPeers_IsLive(router, peer) &&
-            SlHash_Rendezvous(key, SlName_Str(&peer->vm)) > own) {
+        if (!SlPeers_IsLive(router, peer) ||
+            (in_domain &&
+             !SlName_Equal(&peer->digest.domain, &router->options.domain))) {
+            continue;
+        }
+        if (SlHash_Rendezvous(key, SlName_Str(&peer->vm)) > own) {
             rank++;
         }
     }
     return rank;
 }
 
+size_t
+SlPeers_Rank(const struct sl_router *router, struct sl_str key)
+{
+    return rank_of(router, key, false);
+}
+
+size_t
+SlPeers_DomainRank(const struct sl_router *router, struct sl_str key)
+{
+    return rank_of(router, key, true);
+}
+
 static struct sl_router_peer *
 find_or_add(struct sl_router *router, const struct sl_name *vm,
             const struct sl_name *address)
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -6,9 +6,15 @@
 /* Bytes between failure domains are dear: another domain must promise the
  * first event sooner by this share of the route's latency objective. */
 #define Sl_OTHER_DOMAIN_SHARE 0.2
-/* A request among others is slowed: the time of a full upstream, beside that
- * of an empty one. */
-#define Sl_FULL_LOAD_US (400 * Sl_US_PER_MS)
+/* A plain service slows down when it is nearly full: the time of a full
+ * upstream, beside that of an empty one. */
+#define Sl_FULL_LOAD_US (100 * Sl_US_PER_MS)
+/* At an engine each stream slows every other one, from the first to the last
+ * event: by so much in sum for each that runs there. */
+#define Sl_STREAM_BESIDE_US (60 * Sl_US_PER_MS)
+/* While a prompt is read, the streams beside it stand nearly still: this part
+ * of the reading counts for each of them. */
+#define Sl_READ_BESIDE 0.1
 /* Reading a part again costs more than its time: memory that others hold. */
 #define Sl_READ_AGAIN_US_PER_TOKEN 20
 /* Spreads prompts that no upstream holds yet, the same way at each router. */
@@ -77,15 +83,20 @@
     const struct sl_route *route = flight->route;
     int64_t target =
         route->target_us > 0 ? route->target_us : Sl_DEFAULT_TARGET_US;
-    int64_t cost = Sl_FULL_LOAD_US * SlUpstreams_Load(router, upstream) /
-                   slots_of(upstream);
-    if (flight->service->is_engine) {
+    int64_t load = SlUpstreams_Load(router, upstream);
+    int64_t cost = 0;
+    if (!flight->service->is_engine) {
+        cost += Sl_FULL_LOAD_US * load / slots_of(upstream);
+    }
+    else {
         struct sl_name model = {0};
         int64_t uncached = SlUpstreams_Uncached(flight, upstream);
         (void)SlName_Set(&model, SlFlight_Model(flight));
-        cost += SlUpstreams_Unread(router, upstream) +
-                SlPace_Expect(router, &model, uncached) +
-                Sl_READ_AGAIN_US_PER_TOKEN * uncached;
+        int64_t read_us = SlPace_Expect(router, &model, uncached);
+        cost += SlUpstreams_Unread(router, upstream) + read_us +
+                Sl_READ_AGAIN_US_PER_TOKEN * uncached +
+                Sl_STREAM_BESIDE_US * load +
+                (int64_t)(Sl_READ_BESIDE * (double)(read_us * load));
     }
     if (!SlName_Equal(&upstream->reg.domain, &router->options.domain)) {
         cost += (int64_t)(Sl_OTHER_DOMAIN_SHARE * (double)target);
--- a/lib/router/sl_repeats.c
+++ b/lib/router/sl_repeats.c
@@ -1,57 +1,102 @@
 /*
  * The fleet's budget of repeats, split without asking anybody. Answers
- * failures that would otherwise be multiplied by retries: all routers together
- * may send a service a share of its requests a second time, and a number more.
- * A router spends the share of its own requests, and an even part of the
- * number among the routers that are believed to live.
+ * failures that would otherwise be multiplied by retries: in a sliding window
+ * all routers together may send a service a share of its requests a second
+ * time, and a number more. A router spends the share of its own requests, and
+ * an even part of the number among the routers that are believed to live.
  */
 #include "sl_router_internal.h"
 
 /* Part of the even share that is spent: the belief may be wrong by one. */
 #define Sl_EXTRA_USED 0.7
-/* Below this part of a full budget only failures are repeated: a doubtful
+/* Part of what is allowed from which on only failures are repeated: a doubtful
  * answer is still an answer. */
-#define Sl_DOUBT_RESERVE 0.15
+#define Sl_DOUBT_PART 0.85
 
-static struct sl_budget *
-budget_of(struct sl_router *router, const struct sl_name *service)
+/* ---- windows ---- */
+
+static int64_t
+slot_us(const struct sl_router *router)
 {
-    const struct sl_bounds *bounds = &router->options.bounds;
-    struct sl_budget *budget = g_hash_table_lookup(router->budgets, service);
-    double max_tokens = Sl_EXTRA_USED * bounds->retry_extra /
-                        (double)SlPeers_FleetSize(router);
-    if (budget == NULL) {
-        budget = g_new0(struct sl_budget, 1);
-        *budget = SlBudget_New(bounds->retry_ratio, max_tokens);
-        g_hash_table_insert(router->budgets,
-                            g_memdup2(service, sizeof(*service)), budget);
+    return MAX(router->options.bounds.retry_window_us / Sl_REPEAT_SLOTS, 1);
+}
+
+/* Drops what the window has left behind. */
+static struct sl_repeat_window *
+window_of(struct sl_router *router, const struct sl_name *service)
+{
+    struct sl_repeat_window *window =
+        g_hash_table_lookup(router->repeats, service);
+    int64_t slot = router->now_us / slot_us(router);
+    if (window == NULL) {
+        window = g_new0(struct sl_repeat_window, 1);
+        window->slot = slot;
+        g_hash_table_insert(router->repeats,
+                            g_memdup2(service, sizeof(*service)), window);
+    }
+    for (int64_t i = 0; i < Sl_REPEAT_SLOTS + 1 && window->slot < slot; i++) {
+        size_t at = (size_t)(++window->slot % (Sl_REPEAT_SLOTS + 1));
+        window->requests[at] = 0;
+        window->repeats[at] = 0;
+    }
+    window->slot = slot;
+    return window;
+}
+
+static size_t
+slot_index(const struct sl_repeat_window *window)
+{
+    return (size_t)(window->slot % (Sl_REPEAT_SLOTS + 1));
+}
+
+/* Requests of whole slots only, repeats of any part: never too much. */
+static void
+sum_window(const struct sl_repeat_window *window, double *requests,
+           double *repeats)
+{
+    size_t oldest = (size_t)((window->slot + 1) % (Sl_REPEAT_SLOTS + 1));
+    *requests = 0;
+    *repeats = 0;
+    for (size_t i = 0; i < Sl_REPEAT_SLOTS + 1; i++) {
+        *requests += i == oldest ? 0 : window->requests[i];
+        *repeats += window->repeats[i];
     }
-    budget->share = bounds->retry_ratio;
-    budget->max_tokens = max_tokens;
-    budget->tokens = MIN(budget->tokens, max_tokens);
-    return budget;
 }
 
+/* ---- public ---- */
+
 void
 SlRepeats_OnFirst(struct sl_router *router, const struct sl_name *service)
 {
-    SlBudget_OnFirst(budget_of(router, service));
+    struct sl_repeat_window *window = window_of(router, service);
+    window->requests[slot_index(window)] += 1;
 }
 
-bool
-SlRepeats_Take(struct sl_router *router, const struct sl_name *service,
+double
+SlRepeats_Left(struct sl_router *router, const struct sl_name *service,
                enum sl_repeat_reason reason)
 {
-    struct sl_budget *budget = budget_of(router, service);
-    if (reason == Sl_REPEAT_DOUBT &&
-        budget->tokens < Sl_DOUBT_RESERVE * budget->max_tokens + 1) {
-        return false;
+    const struct sl_bounds *bounds = &router->options.bounds;
+    double requests;
+    double repeats;
+    sum_window(window_of(router, service), &requests, &repeats);
+    double allowed =
+        bounds->retry_ratio * requests + Sl_EXTRA_USED * bounds->retry_extra /
+                                             (double)SlPeers_FleetSize(router);
+    if (reason == Sl_REPEAT_DOUBT) {
+        allowed *= Sl_DOUBT_PART;
     }
-    return SlBudget_Take(budget);
+    return allowed - repeats;
 }
 
-double
-SlRepeats_Left(struct sl_router *router, const struct sl_name *service)
+bool
+SlRepeats_Take(struct sl_router *router, const struct sl_name *service,
+               enum sl_repeat_reason reason)
 {
-    return budget_of(router, service)->tokens;
+    if (SlRepeats_Left(router, service, reason) < 1) {
+        return false;
+    }
+    struct sl_repeat_window *window = window_of(router, service);
+    window->repeats[slot_index(window)] += 1;
+    return true;
 }
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -37,7 +37,7 @@
                                           g_free, g_free);
     router->gains =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    router->budgets = g_hash_table_new_full(SlName_TableHash,
+    router->repeats = g_hash_table_new_full(SlName_TableHash,
                                             SlName_TableEqual, g_free, g_free);
     router->rollouts = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, NULL, SlRollouts_Free);
@@ -63,7 +63,7 @@
     g_hash_table_destroy(router->peers);
     g_hash_table_destroy(router->statuses);
     g_hash_table_destroy(router->rollouts);
-    g_hash_table_destroy(router->budgets);
+    g_hash_table_destroy(router->repeats);
     g_hash_table_destroy(router->gains);
     g_hash_table_destroy(router->paces);
     g_hash_table_destroy(router->by_key);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -73,6 +73,18 @@
     double us_per_token; /* of the prompt, where it is not cached */
 };
 
+/* ---- repeats ---- */
+
+#define Sl_REPEAT_SLOTS 20
+
+/* Requests of a service and their repeats, by slots of the budget's window;
+ * one slot more than the window has, for the part of the oldest. */
+struct sl_repeat_window {
+    int64_t slot; /* number of the newest */
+    double requests[Sl_REPEAT_SLOTS + 1];
+    double repeats[Sl_REPEAT_SLOTS + 1];
+};
+
 /* ---- models ---- */
 
 #define Sl_CONFIDENCE_STEPS 10
@@ -250,6 +262,7 @@
     struct sl_buf line; /* the log line in hand */
 
     struct sl_feed_state feeds[Sl_FEED_COUNT];
+    int64_t store_seen_us; /* when it last answered; 0: never */
     int64_t store_back_us; /* when the store last came back; 0: never away */
     struct sl_routing *routing; /* NULL until one is known */
     uint64_t routing_offset;
@@ -258,7 +271,7 @@
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
     GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
-    GHashTable *budgets;   /* service name -> struct sl_budget, owned */
+    GHashTable *repeats;   /* service name -> struct sl_repeat_window, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
     GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
     bool peers_changed;    /* the sums at upstreams are out of date */
@@ -389,6 +402,8 @@
 size_t SlPeers_FleetSize(const struct sl_router *router);
 /* This router's place among those, by `key`: 0 is the first to act. */
 size_t SlPeers_Rank(const struct sl_router *router, struct sl_str key);
+/* The same among those of the own failure domain. */
+size_t SlPeers_DomainRank(const struct sl_router *router, struct sl_str key);
 bool SlPeers_IsLive(const struct sl_router *router,
                     const struct sl_router_peer *peer);
 /* Brings the sums at upstreams up to date. */
@@ -472,7 +487,8 @@
 /* May a request be sent to the service once more? Takes it from the budget. */
 bool SlRepeats_Take(struct sl_router *router, const struct sl_name *service,
                     enum sl_repeat_reason reason);
-double SlRepeats_Left(struct sl_router *router, const struct sl_name *service);
+double SlRepeats_Left(struct sl_router *router, const struct sl_name *service,
+                      enum sl_repeat_reason reason);
 
 /* ---- models ---- */
 
@@ -551,6 +567,10 @@
 
 void SlFeeds_Start(struct sl_router *router);
 void SlFeeds_Free(struct sl_router *router);
+/* Reads a feed now, unless it is being read or soon will be. */
+void SlFeeds_Read(struct sl_router *router, enum sl_feed feed);
+/* Time since the store last answered; UINT32_MAX: it never did. */
+uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
 /* A peer asks for records. */
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -23,7 +23,7 @@
 //   piece CONN TEXT
 //   done CONN [err=] [unsent]      of the newest call for that caller
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:N:MS] [sessions=..]
-//     [order=] [elapsed=MS] [leaving]
+//     [order=] [elapsed=MS] [leaving] [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
 //   drain | show WORD... | hide WORD... | +MS
 #include <gtest/gtest.h>
@@ -496,6 +496,8 @@
         digest->boot = (uint64_t)m.number("boot", 7);
         digest->sequence = ++sequences[m.words.at(1)];
         digest->leaving = m.flag("leaving");
+        digest->store_age_ms =
+            (uint32_t)m.number("store-age", (int64_t)UINT32_MAX);
         for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
             digest->offsets[i] = std::stoull(offsets.at(i));
         }
