Refused at once when waiting cannot help; told load ages with the runs

Cause: plain services' requests waited to their deadlines at the router while an upstream that had told of a full queue half a second ago idled (its runs take 30 ms), or while no upstream was there at all.

--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -289,6 +289,8 @@
                              flight->state != Sl_FLIGHT_PASSING)) {
         SlUpstreams_OnGood(router, flight->exchange.upstream,
                            flight->service->cold_start_us);
+        SlPace_LearnRun(router, &flight->service->name,
+                        router->now_us - flight->exchange.sent_us);
         SlCalls_Detach(router, flight);
         finish(router, flight);
         return;
--- a/lib/router/sl_pace.c
+++ b/lib/router/sl_pace.c
@@ -1,5 +1,6 @@
 /* How fast models read prompts, learned from answers that found an idle
- * upstream. Answers placement's question of when a first event may come. */
+ * upstream, and how long runs take. Answers the questions of when a first
+ * event may come, and when a full upstream has room. */
 #include "sl_router_internal.h"
 
 /* Until a model has been seen: a small one on a fast accelerator. */
@@ -11,6 +12,9 @@
 #define Sl_SHORT_PROMPT_TOKENS 200
 #define Sl_LONG_PROMPT_TOKENS 1000
 
+/* Runs of a service take about this long until one was seen. */
+#define Sl_FIRST_RUN_US (50 * Sl_US_PER_MS)
+
 static struct sl_pace
 pace_of(const struct sl_router *router, const struct sl_name *model)
 {
@@ -49,3 +53,24 @@
         pace->us_per_token += Sl_PACE_WEIGHT * (rate - pace->us_per_token);
     }
 }
+
+int64_t
+SlPace_RunUs(const struct sl_router *router, const struct sl_name *service)
+{
+    const double *run_us = g_hash_table_lookup(router->runs, service);
+    return run_us == NULL ? Sl_FIRST_RUN_US : (int64_t)*run_us;
+}
+
+void
+SlPace_LearnRun(struct sl_router *router, const struct sl_name *service,
+                int64_t took_us)
+{
+    double *run_us = g_hash_table_lookup(router->runs, service);
+    if (run_us == NULL) {
+        run_us = g_new0(double, 1);
+        *run_us = (double)took_us;
+        g_hash_table_insert(router->runs, g_memdup2(service, sizeof(*service)),
+                            run_us);
+    }
+    *run_us += Sl_PACE_WEIGHT * ((double)took_us - *run_us);
+}
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -21,6 +21,11 @@
 #define Sl_NOT_HOME_US (100 * Sl_US_PER_MS)
 /* An upstream that this request was at before is the last choice. */
 #define Sl_TRIED_US (60 * Sl_US_PER_S)
+/* An upstream is full with this many times its slots under way: it queues a
+ * few itself, where they are nearer to its next free slot than here. */
+#define Sl_FULL_SLOTS 2
+/* A full upstream has room after this at the soonest. */
+#define Sl_LEAST_STEP_US Sl_US_PER_MS
 /* Slots of an upstream that does not say. */
 #define Sl_DEFAULT_SLOTS 8
 /* Latency objective of a route that names none. */
@@ -68,8 +73,12 @@
 {
     int64_t at = SlCold_NextUs(router, upstream, flight->service);
     at = MAX(at, upstream->shun_until_us);
-    if (SlUpstreams_Load(router, upstream) >= slots_of(upstream)) {
-        return Sl_NEVER_US; /* when one of its requests ends */
+    if (SlUpstreams_Load(router, upstream) >=
+        Sl_FULL_SLOTS * slots_of(upstream)) {
+        /* When one of its requests ends. */
+        int64_t step_us =
+            SlPace_RunUs(router, &flight->service->name) / slots_of(upstream);
+        return MAX(at, router->now_us + MAX(step_us, Sl_LEAST_STEP_US));
     }
     return at;
 }
@@ -133,9 +142,7 @@
         }
         int64_t at = free_at(router, flight, upstream);
         if (at > router->now_us) {
-            if (at != Sl_NEVER_US) {
-                *wait_us = MIN(*wait_us, at - router->now_us);
-            }
+            *wait_us = MIN(*wait_us, at - router->now_us);
             continue;
         }
         int64_t cost = cost_of(router, flight, upstream);
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -41,6 +41,9 @@
  * standard errors its rate must exceed the others'. A false alarm costs one
  * roll-out; a bad version that stays costs callers. */
 #define Sl_MIN_BAD 2.5
+/* A version that fails this much more often than the others is bad; less is
+ * within what slow or restarting upstreams do to a good one. */
+#define Sl_MIN_EXCESS 0.1
 #define Sl_SIGMAS 2.3
 /* Weight of the belief that an unseen version fails this often. */
 #define Sl_PRIOR_ANSWERS 4.0
@@ -375,7 +378,7 @@
         (tally->target_bad + base_bad) / (tally->target_answers + base_n);
     double error =
         sqrt(pooled * (1 - pooled) * (1 / tally->target_answers + 1 / base_n));
-    return target > base && target - base >= Sl_SIGMAS * error;
+    return target - base >= MAX(Sl_MIN_EXCESS, Sl_SIGMAS * error);
 }
 
 static void
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -203,7 +203,8 @@
     enum sl_flight_state state;
     struct sl_buf text; /* what the views of `ask` point to */
     struct sl_ask ask;
-    uint64_t order; /* of arrivals */
+    uint64_t order;    /* of arrivals */
+    int64_t queued_us; /* when it began to wait */
     int64_t arrived_us;
     int64_t deadline_us; /* the caller leaves, or the route's time is over */
     int64_t priority;
@@ -270,6 +271,7 @@
 
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
+    GHashTable *runs;      /* service name -> double, length in us, owned */
     GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
     GHashTable *repeats;   /* service name -> struct sl_repeat_window, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
@@ -390,6 +392,11 @@
                       const struct sl_name *model, int64_t uncached);
 void SlPace_Learn(struct sl_router *router, const struct sl_name *model,
                   int64_t uncached, int64_t took_us);
+/* Length of the service's runs, smoothed. */
+int64_t SlPace_RunUs(const struct sl_router *router,
+                     const struct sl_name *service);
+void SlPace_LearnRun(struct sl_router *router, const struct sl_name *service,
+                     int64_t took_us);
 
 /* ---- peers ---- */
 
@@ -472,7 +479,7 @@
 /* Waits for an upstream, or goes at once. */
 void SlWaiting_Add(struct sl_router *router, struct sl_flight *flight);
 void SlWaiting_Remove(struct sl_router *router, struct sl_flight *flight);
-/* Sends what can go now. */
+/* Sends what can go now, and refuses what cannot be served in time. */
 void SlWaiting_Run(struct sl_router *router);
 /* ---- repeats ---- */
 
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -11,7 +11,7 @@
 #define Sl_REFUSED_PAUSE_US (100 * Sl_US_PER_MS)
 /* What an upstream told of its load is believed for so long: it says nothing
  * of later, and while it is thought full no answer brings news. */
-#define Sl_TOLD_LIFE_US (500 * Sl_US_PER_MS)
+#define Sl_TOLD_LIFE_US (100 * Sl_US_PER_MS)
 /* Age that a registration may have when it is read, beside the pause between
  * two of them. */
 #define Sl_NEWS_AGE_US Sl_US_PER_S
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -1,11 +1,24 @@
-/* Flights that wait for an upstream, most urgent first. Answers bursts that
- * no upstream has room for at once. */
+/*
+ * Flights that wait for an upstream, most urgent first, and those that are
+ * refused because waiting cannot help. Answers bursts that no upstream has
+ * room for at once, and services whose upstreams are gone: who cannot be
+ * served in time is told at once, and when to come back.
+ */
 #include "sl_router_internal.h"
 
 /* A request that no upstream can take is looked at again after so long, when
  * nothing else gives a time: another router's work may have ended. */
 #define Sl_LOOK_AGAIN_US (50 * Sl_US_PER_MS)
 
+/* Without any upstream a request waits this long, for news that may be on
+ * their way: a registration is a second old when it is read. */
+#define Sl_HOPE_US (400 * Sl_US_PER_MS)
+/* Least and largest time after which a refused caller may come back. */
+#define Sl_LEAST_RETRY_US (100 * Sl_US_PER_MS)
+#define Sl_MOST_RETRY_US (3 * Sl_US_PER_S)
+
+/* ---- the queue ---- */
+
 static gint
 compare_urgency(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -22,6 +35,7 @@
 SlWaiting_Add(struct sl_router *router, struct sl_flight *flight)
 {
     assert(flight->waiting == NULL);
+    flight->queued_us = router->now_us;
     g_queue_insert_sorted(router->queue, flight, compare_urgency, NULL);
     flight->waiting = g_queue_find(router->queue, flight);
     router->capacity_changed = true;
@@ -55,25 +69,64 @@
         SlTimers_Subscribe(router->timers, due, on_look_again, router, 0);
 }
 
+/* Can the flight still be served, when an upstream may take it after
+ * `wait_us` and `ahead` others for the same service go first? */
+static bool
+is_hopeless(const struct sl_router *router, const struct sl_flight *flight,
+            int64_t wait_us, size_t ahead)
+{
+    int64_t left_us = flight->deadline_us - router->now_us;
+    if (wait_us == Sl_NEVER_US) {
+        return router->now_us - flight->queued_us >= Sl_HOPE_US;
+    }
+    int64_t run_us = SlPace_RunUs(router, &flight->service->name);
+    return wait_us * (int64_t)(ahead + 1) + run_us / 2 > left_us;
+}
+
+static void
+refuse(struct sl_router *router, struct sl_flight *flight, int64_t wait_us)
+{
+    int64_t left_us = flight->deadline_us - router->now_us;
+    int64_t retry_us = wait_us == Sl_NEVER_US ? left_us / 3 : wait_us;
+    retry_us = CLAMP(retry_us, Sl_LEAST_RETRY_US, Sl_MOST_RETRY_US);
+    bool ran = flight->runs > 0;
+    SlFlight_Fail(router, flight, ran ? 502 : 503, "placement",
+                  wait_us == Sl_NEVER_US ? "no upstream can take the request"
+                                         : "the request would wait too long",
+                  ran, ran ? 0 : retry_us);
+}
+
 void
 SlWaiting_Run(struct sl_router *router)
 {
     int64_t soonest = Sl_NEVER_US;
-    GList *at = router->queue->head;
+    GPtrArray *waiting = g_ptr_array_new();
+    GHashTable *ahead = g_hash_table_new(NULL, NULL); /* service -> count */
     router->capacity_changed = false;
-    while (at != NULL) {
-        struct sl_flight *flight = at->data;
+    for (GList *at = router->queue->head; at != NULL; at = at->next) {
+        g_ptr_array_add(waiting, at->data);
+    }
+    for (guint i = 0; i < waiting->len; i++) {
+        struct sl_flight *flight = waiting->pdata[i];
+        gpointer key = (gpointer)flight->service;
+        size_t count = GPOINTER_TO_SIZE(g_hash_table_lookup(ahead, key));
         int64_t wait_us;
         struct sl_upstream *upstream =
             SlPlacement_Choose(router, flight, &wait_us);
-        at = at->next;
-        if (upstream == NULL) {
+        if (upstream != NULL) {
+            SlWaiting_Remove(router, flight);
+            SlCalls_Send(router, flight, upstream);
+        }
+        else if (is_hopeless(router, flight, wait_us, count)) {
+            refuse(router, flight, wait_us);
+        }
+        else {
             soonest = MIN(soonest, wait_us);
-            continue;
+            g_hash_table_insert(ahead, key, GSIZE_TO_POINTER(count + 1));
         }
-        SlWaiting_Remove(router, flight);
-        SlCalls_Send(router, flight, upstream);
     }
+    g_hash_table_destroy(ahead);
+    g_ptr_array_free(waiting, TRUE);
     if (router->queue->length > 0) {
         look_again_after(router, soonest);
     }
