Faults found by one router are told to its peers; a call that never arrived is no repeat

Ruled out: queueing (no queue in those windows), the cascade's bounds (same with 50 and 60), cold limits (nothing held back). Change: a repeat takes from the budget only after an earlier call arrived; routers tell their peers for 1 s of upstreams they found failing, and those leave them alone for 600 ms unless they just answered; one whose address belongs to another upstream is left until it registers anew.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -7,12 +7,12 @@
 static const char step[] = "gossip.decode";
 
 /* Bytes that everything but loads and sessions may take. */
-#define Sl_FIXED_BYTES 700
+#define Sl_FIXED_BYTES 900
 /* Most bytes of one load, and of one session. */
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
 
-#define Sl_DIGEST_FIELDS 10
+#define Sl_DIGEST_FIELDS 11
 #define Sl_LOAD_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 5
 #define Sl_TALLY_FIELDS 5
@@ -76,6 +76,13 @@
         msgpack_pack_uint32(packer, digest->loads[i].in_flight);
         msgpack_pack_uint32(packer, digest->loads[i].backlog_ms);
     }
+    /* The key's hash and the flag as one number. */
+    msgpack_pack_array(packer, digest->fault_count);
+    for (size_t i = 0; i < digest->fault_count; i++) {
+        uint64_t fault = (uint64_t)digest->faults[i].upstream << 1;
+        msgpack_pack_uint64(packer,
+                            fault | (digest->faults[i].is_replaced ? 1 : 0));
+    }
     msgpack_pack_array(packer, digest->rollout_count);
     for (size_t i = 0; i < digest->rollout_count; i++) {
         size_t sessions =
@@ -234,6 +241,14 @@
         }
         digest->load_count++;
     }
+    struct sl_items faults = next_array(&fields, Sl_GOSSIP_MAX_FAULTS);
+    while (faults.ok && faults.left > 0) {
+        uint64_t fault = next_uint(&faults);
+        digest->faults[digest->fault_count++] = (struct sl_gossip_fault){
+            .upstream = (uint32_t)(fault >> 1),
+            .is_replaced = (fault & 1) != 0,
+        };
+    }
     struct sl_items rollouts = next_array(&fields, Sl_GOSSIP_MAX_ROLLOUTS);
     while (rollouts.ok && rollouts.left > 0) {
         if (!decode_rollout(next_array(&rollouts, Sl_ROLLOUT_FIELDS),
@@ -242,7 +257,7 @@
         }
         digest->rollout_count++;
     }
-    return fields.ok && offsets.ok && loads.ok && rollouts.ok &&
+    return fields.ok && offsets.ok && loads.ok && faults.ok && rollouts.ok &&
            !SlName_IsEmpty(&digest->vm) && digest->boot != 0;
 }
 
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -24,6 +24,7 @@
 /* ---- 1. Digest -------------------------------------------------------- */
 
 #define Sl_GOSSIP_MAX_LOADS 48
+#define Sl_GOSSIP_MAX_FAULTS 24
 #define Sl_GOSSIP_MAX_TALLIES 8
 #define Sl_GOSSIP_MAX_ROLLOUTS 4
 #define Sl_GOSSIP_MAX_SESSIONS 32
@@ -36,6 +37,12 @@
     uint32_t backlog_ms; /* of prompts that are not read yet */
 };
 
+/* An upstream that the sender has found failing. */
+struct sl_gossip_fault {
+    uint32_t upstream; /* hash of its id */
+    bool is_replaced;  /* another one has its address: it is gone for good */
+};
+
 /* Recent answers on one route, which fade with time; in tenths. */
 struct sl_gossip_tally {
     uint32_t route; /* hash of its name */
@@ -68,6 +75,8 @@
     uint32_t store_age_ms; /* since the store last answered the sender */
     size_t load_count;
     struct sl_gossip_load loads[Sl_GOSSIP_MAX_LOADS];
+    size_t fault_count;
+    struct sl_gossip_fault faults[Sl_GOSSIP_MAX_FAULTS];
     size_t rollout_count;
     struct sl_gossip_rollout rollouts[Sl_GOSSIP_MAX_ROLLOUTS];
 };
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -123,6 +123,7 @@
     }
     struct sl_exchange *exchange = &flight->exchange;
     exchange->has_head = true;
+    flight->has_arrived = true;
     note_bytes(router, exchange);
     exchange->head = *head;
     SlBuf_Clear(&exchange->headers);
@@ -247,6 +248,7 @@
 {
     struct sl_upstream *upstream = flight->exchange.upstream;
     log_end(router, flight, upstream, err);
+    flight->has_arrived = flight->has_arrived || connected;
     SlUpstreams_OnFailure(router, upstream);
     mark_tried(flight, upstream);
     SlCalls_Detach(router, flight);
@@ -260,8 +262,13 @@
 on_refused(struct sl_router *router, struct sl_flight *flight)
 {
     struct sl_upstream *upstream = flight->exchange.upstream;
-    SlUpstreams_OnRefused(router, upstream,
-                          flight->exchange.head.retry_after_us);
+    if (flight->exchange.head.wrong_instance) {
+        SlUpstreams_OnReplaced(router, upstream);
+    }
+    else {
+        SlUpstreams_OnRefused(router, upstream,
+                              flight->exchange.head.retry_after_us);
+    }
     mark_tried(flight, upstream);
     SlCalls_Detach(router, flight);
     SlFlight_Again(router, flight, false, "upstream.call",
@@ -341,6 +348,7 @@
     if (is_dark) {
         SlUpstreams_OnFailure(router, upstream);
     }
+    flight->has_arrived = true;
     mark_tried(flight, upstream);
     SlCalls_Cancel(router, flight);
     SlFlight_Again(router, flight, true, "upstream.call",
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -37,6 +37,22 @@
     }
 }
 
+static void
+fill_faults(const struct sl_router *router, struct sl_gossip *digest)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value) &&
+           digest->fault_count < Sl_GOSSIP_MAX_FAULTS) {
+        const struct sl_upstream *upstream = value;
+        if (upstream->listed && SlUpstreams_IsOwnFault(router, upstream)) {
+            digest->faults[digest->fault_count++] =
+                (struct sl_gossip_fault){upstream->key, upstream->is_replaced};
+        }
+    }
+}
+
 static void
 fill_digest(struct sl_router *router, struct sl_gossip *digest)
 {
@@ -51,6 +67,7 @@
     }
     digest->store_age_ms = SlFeeds_StoreAgeMs(router);
     fill_loads(router, digest);
+    fill_faults(router, digest);
     digest->rollout_count = 0;
     SlRollouts_Tell(router, digest);
 }
@@ -145,6 +162,9 @@
         return;
     }
     SlFeeds_OnDigest(router, digest);
+    for (size_t i = 0; i < digest->fault_count; i++) {
+        SlUpstreams_OnToldFault(router, &digest->faults[i]);
+    }
     for (size_t i = 0; i < digest->rollout_count; i++) {
         SlRollouts_OnGossip(router, &digest->rollouts[i]);
     }
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -101,7 +101,8 @@
     if (!allowed) {
         return false;
     }
-    if (!SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_FAILURE)) {
+    if (flight->has_arrived &&
+        !SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_FAILURE)) {
         SlRouter_Count(router, "repeats_over_budget");
         return false;
     }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -55,6 +55,7 @@
        const struct sl_upstream *upstream, enum sl_version_rule rule)
 {
     return upstream->listed && !upstream->reg.draining &&
+           !upstream->is_replaced &&
            SlName_Equal(&upstream->reg.service, &flight->service->name) &&
            !SlUpstreams_IsEvacuated(router, &upstream->reg.domain) &&
            keeps_rule(router, flight, upstream, rule);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -46,6 +46,9 @@
     bool was_lost;         /* it failed since it was last heard of */
     int64_t lost_us;       /* when it failed last */
     int64_t shun_until_us; /* after failures */
+    int64_t fault_us;      /* when this router last found it failing; 0: never
+                              since it last answered */
+    bool is_replaced;      /* another upstream has its address */
     unsigned failures;     /* in a row */
     int64_t in_flight;     /* own */
     int64_t bytes_us;      /* when it last sent anything, to any call */
@@ -215,6 +218,7 @@
     int doubted_confidence; /* in that answer; -1: there was none */
     int64_t runs;           /* attempts that ran or may have run */
     int64_t tries;          /* attempts that were sent or tried */
+    bool has_arrived;       /* at some upstream: another call is a repeat */
     bool may_repeat;
     int64_t last_event; /* the newest one the caller has; -1: none */
     size_t tried_count;
@@ -350,6 +354,16 @@
 /* It could not be reached, or broke off: it is shunned for a while. */
 void SlUpstreams_OnFailure(struct sl_router *router,
                            struct sl_upstream *upstream);
+/* Another upstream answers at its address: it is gone for good, unless it
+ * registers anew. */
+void SlUpstreams_OnReplaced(struct sl_router *router,
+                            struct sl_upstream *upstream);
+/* A peer has found an upstream failing. */
+void SlUpstreams_OnToldFault(struct sl_router *router,
+                             const struct sl_gossip_fault *fault);
+/* Did this router itself find it failing, lately? */
+bool SlUpstreams_IsOwnFault(const struct sl_router *router,
+                            const struct sl_upstream *upstream);
 /* It refused: it is full. */
 void SlUpstreams_OnRefused(struct sl_router *router,
                            struct sl_upstream *upstream,
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -7,6 +7,10 @@
 /* First pause after a failure; doubles with each one in a row. */
 #define Sl_SHUN_FIRST_US (250 * Sl_US_PER_MS)
 #define Sl_SHUN_MAX_US (2 * Sl_US_PER_S)
+/* Peers are told for so long of an upstream that was found failing, and leave
+ * it alone for so long after they were told. */
+#define Sl_FAULT_TOLD_US Sl_US_PER_S
+#define Sl_TOLD_FAULT_US (600 * Sl_US_PER_MS)
 /* Pause after a refusal that names none. */
 #define Sl_REFUSED_PAUSE_US (100 * Sl_US_PER_MS)
 /* What an upstream told of its load is believed for so long: it says nothing
@@ -95,6 +99,7 @@
     upstream->offset = offset;
     upstream->heard_us = router->now_us;
     upstream->listed = true;
+    upstream->is_replaced = false;
     /* A registration from before the failure proves nothing. */
     if (router->now_us - upstream->lost_us >
         router->options.bounds.heartbeat_us + Sl_NEWS_AGE_US) {
@@ -349,6 +354,7 @@
                    int64_t cold_start_us)
 {
     upstream->failures = 0;
+    upstream->fault_us = 0;
     if (upstream->was_lost) {
         upstream->was_lost = false;
         upstream->cold_until_us =
@@ -374,6 +380,8 @@
     upstream->failures++;
     upstream->was_lost = true;
     upstream->lost_us = router->now_us;
+    upstream->fault_us = router->now_us;
+    router->loads_changed = true;
     shun(router, upstream, MIN(pause, Sl_SHUN_MAX_US));
     SlLine_Begin(router, "upstream_suspected");
     SlLine_Name(router, "upstream", &upstream->reg.id);
@@ -382,6 +390,42 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+void
+SlUpstreams_OnReplaced(struct sl_router *router, struct sl_upstream *upstream)
+{
+    upstream->is_replaced = true;
+    upstream->fault_us = router->now_us;
+    router->loads_changed = true;
+    log_upstream(router, upstream, "upstream_replaced");
+}
+
+bool
+SlUpstreams_IsOwnFault(const struct sl_router *router,
+                       const struct sl_upstream *upstream)
+{
+    return upstream->fault_us != 0 &&
+           router->now_us - upstream->fault_us < Sl_FAULT_TOLD_US;
+}
+
+void
+SlUpstreams_OnToldFault(struct sl_router *router,
+                        const struct sl_gossip_fault *fault)
+{
+    struct sl_upstream *upstream =
+        g_hash_table_lookup(router->by_key, GUINT_TO_POINTER(fault->upstream));
+    if (upstream == NULL ||
+        router->now_us - upstream->bytes_us < Sl_TOLD_FAULT_US) {
+        return; /* it has just answered here */
+    }
+    upstream->was_lost = true;
+    upstream->lost_us = router->now_us;
+    shun(router, upstream, Sl_TOLD_FAULT_US);
+    if (fault->is_replaced && !upstream->is_replaced) {
+        upstream->is_replaced = true;
+        log_upstream(router, upstream, "upstream_replaced");
+    }
+}
+
 void
 SlUpstreams_OnRefused(struct sl_router *router, struct sl_upstream *upstream,
                       int64_t retry_after_us)
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -23,7 +23,8 @@
 //   piece CONN TEXT
 //   done CONN [err=] [unsent]      of the newest call for that caller
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:N:MS] [sessions=..]
-//     [order=] [elapsed=MS] [leaving] [store-age=MS]
+//     [fault=ID[:replaced],..] [order=] [elapsed=MS] [leaving]
+//     [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
 //   drain | show WORD... | hide WORD... | +MS
 #include <gtest/gtest.h>
@@ -508,6 +509,12 @@
             at.in_flight = (uint32_t)std::stoul(fields.at(1));
             at.backlog_ms = (uint32_t)std::stoul(fields.at(2));
         }
+        for (const std::string &fault : split(m.str("fault"))) {
+            std::vector<std::string> fields = split(fault, ':');
+            struct sl_gossip_fault &at = digest->faults[digest->fault_count++];
+            at.upstream = (uint32_t)SlHash_Bytes(0, view(fields.at(0)));
+            at.is_replaced = fields.size() > 1;
+        }
         if (m.values.count("order") != 0) {
             struct sl_gossip_rollout &rollout = digest->rollouts[0];
             digest->rollout_count = 1;
@@ -655,6 +662,7 @@
         }
         out << " loads=" << effect.u.gossip.digest->load_count
             << " rollouts=" << effect.u.gossip.digest->rollout_count
+            << " faults=" << effect.u.gossip.digest->fault_count
             << (effect.u.gossip.digest->leaving ? " leaving" : "") << "\n";
     }
 
