--- a/lib/common/sl_common.h
+++ b/lib/common/sl_common.h
@@ -8,10 +8,11 @@
  *   4. Random       a seeded generator, part of a reducer's state
  *   5. Timers       a service that parts subscribe to
  *   6. Counters     named cumulative counters
- *   7. Log          JSON lines
- *   8. JSON         checked access to members, with errors naming the key
- *   9. Outside      values that outside systems give and take
- *  10. Budget       retries as a share of traffic
+ *   7. Metrics      counters, gauges and histograms with labels
+ *   8. Log          JSON lines
+ *   9. JSON         checked access to members, with errors naming the key
+ *  10. Outside      values that outside systems give and take
+ *  11. Budget       retries as a share of traffic
  *
  * Nothing here reads a clock, a socket or a random source, but for SlLog_*,
  * which is used by the programs only.
@@ -184,7 +185,55 @@
 /* Appends a JSON object, keys in order of name. */
 void SlCounters_Dump(const struct sl_counters *counters, struct sl_buf *out);
 
-/* ---- 7. Log ----------------------------------------------------------- */
+/* ---- 7. Metrics ------------------------------------------------------- */
+
+enum sl_metric_type {
+    Sl_METRIC_COUNTER,
+    Sl_METRIC_GAUGE,
+    Sl_METRIC_HISTOGRAM,
+};
+
+#define Sl_METRIC_MAX_LABELS 2
+
+struct sl_metric_def {
+    const char *name; /* ends with its unit; a counter's with "_total" */
+    enum sl_metric_type type;
+    const char *help;
+    const char *labels[Sl_METRIC_MAX_LABELS]; /* names; NULL: none */
+    const double *bounds; /* of a histogram: ascending, 0 at the end */
+};
+
+struct sl_metrics;
+
+/* `defs` are borrowed for the life of the set; functions below name a metric
+ * by its index, with as many label values as it has labels, NULL for the
+ * others. */
+struct sl_metrics *SlMetrics_New(const struct sl_metric_def *defs,
+                                 size_t count);
+void SlMetrics_Free(struct sl_metrics *metrics);
+/* Adds to a counter. */
+void SlMetrics_Add(struct sl_metrics *metrics, size_t metric,
+                   const struct sl_name *first, const struct sl_name *second,
+                   double amount);
+/* Sets a gauge. */
+void SlMetrics_Set(struct sl_metrics *metrics, size_t metric,
+                   const struct sl_name *first, const struct sl_name *second,
+                   double value);
+/* Adds an observation to a histogram. */
+void SlMetrics_Observe(struct sl_metrics *metrics, size_t metric,
+                       const struct sl_name *first,
+                       const struct sl_name *second, double value);
+/* Of a counter or gauge, 0 when it was never touched; of a histogram, the
+ * sum of what was observed. */
+double SlMetrics_Value(const struct sl_metrics *metrics, size_t metric,
+                       const struct sl_name *first,
+                       const struct sl_name *second);
+/* "counter", "gauge" or "histogram". */
+const char *SlMetrics_TypeName(enum sl_metric_type type);
+/* Appends everything as Prometheus text. */
+void SlMetrics_Text(const struct sl_metrics *metrics, struct sl_buf *out);
+
+/* ---- 8. Log ----------------------------------------------------------- */
 
 enum sl_log_level {
     Sl_LOG_DEBUG,
@@ -232,7 +281,28 @@
 double SlLogSink_Fill(const struct sl_log_sink *sink);
 uint64_t SlLogSink_LeftOut(const struct sl_log_sink *sink);
 
-/* ---- 8. JSON ---------------------------------------------------------- */
+/* What a line says of the request that it belongs to. */
+enum sl_log_end {
+    Sl_LOG_GOES_ON,
+    Sl_LOG_WENT_WELL, /* its last line */
+    Sl_LOG_FAILED,    /* its last line */
+};
+
+/* Decides which lines of requests go to a sink. While the sink has room, all
+ * do. Else lines of a request wait for its end: those of one that failed are
+ * written, those of one in 16 that went well, and the others are counted; a
+ * line says how many when there is room again. */
+struct sl_log_sampler;
+
+struct sl_log_sampler *SlLogSampler_New(struct sl_log_sink *sink);
+/* Writes what is held. */
+void SlLogSampler_Free(struct sl_log_sampler *sampler);
+/* Takes a line with its end; `request` is 0 for one that concerns none. */
+void SlLogSampler_Write(struct sl_log_sampler *sampler, uint64_t request,
+                        enum sl_log_end end, struct sl_str line);
+uint64_t SlLogSampler_LeftOut(const struct sl_log_sampler *sampler);
+
+/* ---- 9. JSON ---------------------------------------------------------- */
 
 /* What a member must be. Bounds are inclusive. */
 struct sl_json_int {
@@ -264,7 +334,7 @@
 enum sl_errno SlJson_OnlyKeys(const json_t *object, const char *const *keys,
                               const char *where, struct sl_error *err);
 
-/* ---- 9. Outside ------------------------------------------------------- */
+/* ---- 10. Outside ------------------------------------------------------ */
 
 enum sl_role {
     Sl_ROLE_ENTRY,
@@ -319,7 +389,7 @@
     uint64_t fence; /* fencing number */
 };
 
-/* ---- 10. Budget ------------------------------------------------------- */
+/* ---- 11. Budget ------------------------------------------------------- */
 
 /* A token bucket: each first attempt adds `share`, each retry takes 1. In any
  * span of time there are at most `share` retries a first attempt, and
--- a/lib/common/sl_log_sink.c
+++ b/lib/common/sl_log_sink.c
@@ -3,6 +3,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -59,13 +60,33 @@
     }
 }
 
+/* Whole lines that fit into one write, from `done` on; at least one line. A
+ * pipe takes up to PIPE_BUF bytes at once or not at all, so that its reader
+ * sees no part of a line. */
+static size_t
+next_bytes(const struct sl_log_sink *sink, size_t done)
+{
+    size_t take = 0;
+    while (done + take < sink->pending.len) {
+        const char *from = sink->pending.ptr + done + take;
+        size_t left = sink->pending.len - done - take;
+        const char *end = memchr(from, '\n', left);
+        size_t line = end == NULL ? left : (size_t)(end - from) + 1;
+        if (take > 0 && take + line > PIPE_BUF) {
+            break;
+        }
+        take += line;
+    }
+    return take;
+}
+
 void
 SlLogSink_Flush(struct sl_log_sink *sink)
 {
     size_t done = 0;
     while (done < sink->pending.len) {
         ssize_t n = write(sink->options.fd, sink->pending.ptr + done,
-                          sink->pending.len - done);
+                          next_bytes(sink, done));
         if (n < 0 && errno == EINTR) {
             continue;
         }
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -36,12 +36,14 @@
 log_head(struct sl_router *router, const struct sl_flight *flight)
 {
     const struct sl_answer_head *head = &flight->exchange.head;
-    SlLine_Begin(router, "head");
-    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_BeginFor(router, "head", flight);
     SlLine_Name(router, "upstream", &flight->exchange.upstream->reg.id);
     SlLine_Int(router, "status", head->status);
     SlLine_Int(router, "confidence", head->confidence);
     SlLine_Int(router, "not_executed", head->not_executed);
+    SlLine_Int(router, "stamped", head->is_stamped);
+    SlLine_Int(router, "running", head->has_load ? head->running : -1);
+    SlLine_Int(router, "waiting", head->has_load ? head->waiting : -1);
     SlLine_Int(router, "after_ms",
                (router->now_us - flight->exchange.sent_us) / Sl_US_PER_MS);
     SlLine_End(router, Sl_LOG_INFO);
@@ -100,16 +102,17 @@
 {
     int confidence = flight->exchange.head.confidence;
     size_t next = SlModels_Next(router, flight, confidence);
+    SlMeasures_OnDoubted(router, flight);
+    SlLine_BeginFor(router, "answer_doubted", flight);
+    SlLine_Str(router, "model", SlFlight_Model(flight));
+    SlLine_Int(router, "confidence", confidence);
+    SlLine_Name(router, "next_model", &flight->route->models[next]);
+    SlLine_End(router, Sl_LOG_INFO);
     SlCalls_Cancel(router, flight);
     flight->runs++;
     flight->doubted_model = flight->model;
     flight->doubted_confidence = confidence;
     flight->model = next;
-    SlLine_Begin(router, "answer_doubted");
-    SlLine_Str(router, "request", flight->ask.id);
-    SlLine_Int(router, "confidence", confidence);
-    SlLine_Str(router, "next_model", SlFlight_Model(flight));
-    SlLine_End(router, Sl_LOG_INFO);
     SlWaiting_Add(router, flight);
 }
 
@@ -151,6 +154,8 @@
         if (id >= 0 && id <= flight->last_event) {
             continue; /* the caller has it */
         }
+        SlMeasures_OnEvent(router, flight, flight->state != Sl_FLIGHT_PASSING);
+        flight->passed_us = router->now_us;
         if (flight->state != Sl_FLIGHT_PASSING) {
             flight->state = Sl_FLIGHT_PASSING;
             struct sl_router_effect *begin =
@@ -189,8 +194,13 @@
     }
     SlBuf_Append(&exchange->body, bytes);
     if (exchange->body.len > Sl_MAX_ANSWER_BYTES) {
-        SlFlight_Fail(router, flight, 502, "upstream.answer",
-                      "the answer is too large", true, 0);
+        static const struct sl_refusal refusal = {
+            .status = 502,
+            .step = "upstream.answer",
+            .reason = "the answer is too large",
+            .ran = true,
+        };
+        SlFlight_Fail(router, flight, &refusal);
     }
 }
 
@@ -198,15 +208,18 @@
 finish(struct sl_router *router, struct sl_flight *flight)
 {
     struct sl_exchange *exchange = &flight->exchange;
-    SlLine_Begin(router, "answered");
-    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_BeginLast(router, "answered", flight, exchange->head.status >= 400);
     SlLine_Int(router, "status", exchange->head.status);
     SlLine_C(router, "outcome", "ran");
+    SlLine_Str(router, "model", SlFlight_Model(flight));
+    SlLine_Int(router, "confidence", exchange->head.confidence);
+    SlLine_Int(router, "runs", flight->runs + 1);
     SlLine_Int(router, "took_ms",
                (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
     SlLine_Int(router, "last_event", flight->last_event);
     SlLine_End(router, Sl_LOG_INFO);
-    SlRouter_Count(router, "answers_passed");
+    SlMeasures_OnEnd(router, flight->route, "passed",
+                     router->now_us - flight->arrived_us);
     if (flight->state == Sl_FLIGHT_PASSING) {
         SlOutbox_Add(router, Sl_RFX_FINISH)->u.conn = flight->conn;
     }
@@ -224,10 +237,11 @@
 log_end(struct sl_router *router, const struct sl_flight *flight,
         const struct sl_upstream *upstream, const struct sl_error *err)
 {
-    SlLine_Begin(router, "attempt_failed");
-    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_BeginFor(router, "attempt_failed", flight);
     SlLine_Name(router, "upstream", &upstream->reg.id);
     SlLine_Error(router, err);
+    SlLine_Int(router, "after_ms",
+               (router->now_us - flight->exchange.sent_us) / Sl_US_PER_MS);
     SlLine_Int(router, "last_event", flight->last_event);
     SlLine_End(router, Sl_LOG_INFO);
 }
@@ -248,6 +262,8 @@
 {
     struct sl_upstream *upstream = flight->exchange.upstream;
     log_end(router, flight, upstream, err);
+    SlMeasures_OnCallFailed(router, flight,
+                            connected ? "broken" : "unreachable");
     flight->has_arrived = flight->has_arrived || connected;
     SlUpstreams_OnFailure(router, upstream);
     mark_tried(flight, upstream);
@@ -262,7 +278,10 @@
 on_refused(struct sl_router *router, struct sl_flight *flight)
 {
     struct sl_upstream *upstream = flight->exchange.upstream;
-    if (flight->exchange.head.wrong_instance) {
+    bool is_replaced = flight->exchange.head.wrong_instance;
+    SlMeasures_OnCallFailed(router, flight,
+                            is_replaced ? "replaced" : "refused");
+    if (is_replaced) {
         SlUpstreams_OnReplaced(router, upstream);
     }
     else {
@@ -303,6 +322,7 @@
         return;
     }
     /* A failure of the upstream's own: it ran. */
+    SlMeasures_OnCallFailed(router, flight, "error");
     mark_tried(flight, flight->exchange.upstream);
     SlCalls_Detach(router, flight);
     if (is_garbled(head) || flight->state == Sl_FLIGHT_PASSING) {
@@ -325,16 +345,13 @@
 {
     struct sl_upstream *upstream = flight->exchange.upstream;
     bool is_dark = upstream->bytes_us <= flight->exchange.last_bytes_us;
-    int64_t wait_us;
-    const struct sl_upstream *other =
-        SlPlacement_Choose(router, flight, &wait_us);
-    if (other == NULL || other == upstream) {
+    struct sl_choice other = SlPlacement_Choose(router, flight);
+    if (other.upstream == NULL || other.upstream == upstream) {
         flight->exchange.watch_after_us = router->now_us + Sl_WATCH_AGAIN_US;
         SlWatch_Note(router, flight);
         return;
     }
-    SlLine_Begin(router, "call_silent");
-    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_BeginFor(router, "call_silent", flight);
     SlLine_Name(router, "upstream", &upstream->reg.id);
     SlLine_Int(router, "silent_ms",
                (router->now_us - flight->exchange.last_bytes_us) /
@@ -344,7 +361,7 @@
     SlLine_Int(router, "upstream_dark", is_dark);
     SlLine_Int(router, "last_event", flight->last_event);
     SlLine_End(router, Sl_LOG_INFO);
-    SlRouter_Count(router, "calls_silent");
+    SlMeasures_OnCallFailed(router, flight, "silent");
     if (is_dark) {
         SlUpstreams_OnFailure(router, upstream);
     }
--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -13,11 +13,53 @@
 
 /* ---- calls ---- */
 
+/* The call, and what told its upstream from the next best. */
+static void
+log_sent(struct sl_router *router, const struct sl_flight *flight,
+         const struct sl_choice *choice)
+{
+    const struct sl_upstream *upstream = choice->upstream;
+    const struct sl_exchange *exchange = &flight->exchange;
+    SlLine_BeginFor(router, "sent", flight);
+    SlLine_Name(router, "upstream", &upstream->reg.id);
+    SlLine_Int(router, "cost_ms", choice->cost_us / Sl_US_PER_MS);
+    if (choice->second != NULL) {
+        SlLine_Name(router, "second", &choice->second->reg.id);
+        SlLine_Int(router, "second_cost_ms",
+                   choice->second_cost_us / Sl_US_PER_MS);
+    }
+    SlLine_Int(router, "serving", choice->serving);
+    SlLine_Int(router, "full", choice->full);
+    SlLine_Int(router, "load", SlUpstreams_Load(router, upstream));
+    SlLine_Int(router, "load_age_ms",
+               upstream->told_us == 0
+                   ? -1
+                   : (router->now_us - upstream->told_us) / Sl_US_PER_MS);
+    SlLine_Int(router, "peers_in_flight", upstream->peers_in_flight);
+    SlLine_Int(router, "expected_ms", exchange->expected_us / Sl_US_PER_MS);
+    SlLine_Int(router, "uncached_tokens", exchange->uncached);
+    SlLine_Name(router, "version", &upstream->reg.version);
+    SlLine_Int(router, "heard_ms",
+               (router->now_us - upstream->heard_us) / Sl_US_PER_MS);
+    SlLine_Str(router, "model", SlFlight_Model(flight));
+    SlLine_Int(router, "try", flight->tries);
+    SlLine_Int(router, "runs_before", flight->runs);
+    SlLine_Int(router, "resumes_after", flight->last_event);
+    SlLine_Int(router, "repeats_left",
+               (int64_t)SlRepeats_Left(router, &flight->service->name,
+                                       Sl_REPEAT_FAILURE));
+    SlLine_Int(router, "session", (int64_t)(uint32_t)flight->session);
+    SlLine_Int(router, "waited_ms",
+               (router->now_us - flight->queued_us) / Sl_US_PER_MS);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
 void
 SlCalls_Send(struct sl_router *router, struct sl_flight *flight,
-             struct sl_upstream *upstream)
+             const struct sl_choice *choice)
 {
     struct sl_exchange *exchange = &flight->exchange;
+    struct sl_upstream *upstream = choice->upstream;
     assert(exchange->token == 0);
     exchange->token = ++router->last_token;
     exchange->upstream = upstream;
@@ -55,25 +97,8 @@
     call->priority = flight->service->is_engine ? flight->priority : -1;
     call->fresh_connection = true;
     call->connect_timeout_us = Sl_CONNECT_TIMEOUT_US;
-    SlLine_Begin(router, "sent");
-    SlLine_Str(router, "request", flight->ask.id);
-    SlLine_Name(router, "upstream", &upstream->reg.id);
-    SlLine_Int(router, "try", flight->tries);
-    SlLine_Int(router, "runs_before", flight->runs);
-    SlLine_Int(router, "repeats_left",
-               (int64_t)SlRepeats_Left(router, &flight->service->name,
-                                       Sl_REPEAT_FAILURE));
-    SlLine_Int(router, "load", SlUpstreams_Load(router, upstream));
-    SlLine_Int(router, "load_age_ms",
-               upstream->told_us == 0
-                   ? -1
-                   : (router->now_us - upstream->told_us) / Sl_US_PER_MS);
-    SlLine_Name(router, "version", &upstream->reg.version);
-    SlLine_Int(router, "session", (int64_t)(uint32_t)flight->session);
-    SlLine_Str(router, "model", call->model);
-    SlLine_Int(router, "waited_ms",
-               (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
-    SlLine_End(router, Sl_LOG_INFO);
+    log_sent(router, flight, choice);
+    SlMeasures_OnCall(router, flight);
 }
 
 void
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -124,6 +124,7 @@
     (void)id;
     (void)now_us;
     SlPeers_Forget(router);
+    SlFeeds_NoteDuty(router);
     tell_peers(router, false);
     SlRollouts_Told(router);
     SlTimers_Subscribe(router->timers, router->now_us + SlPeers_BeatUs(router),
@@ -163,7 +164,7 @@
     }
     SlFeeds_OnDigest(router, digest);
     for (size_t i = 0; i < digest->fault_count; i++) {
-        SlUpstreams_OnToldFault(router, &digest->faults[i]);
+        SlUpstreams_OnToldFault(router, &digest->vm, &digest->faults[i]);
     }
     for (size_t i = 0; i < digest->rollout_count; i++) {
         SlRollouts_OnGossip(router, &digest->rollouts[i]);
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -113,6 +113,22 @@
            has_reader(router);
 }
 
+void
+SlFeeds_NoteDuty(struct sl_router *router)
+{
+    bool reads = !is_handed_news(router);
+    if (reads == router->reads_store) {
+        return;
+    }
+    router->reads_store = reads;
+    SlLine_Begin(router, reads ? "store_reading_taken" : "store_reading_left");
+    SlLine_Int(router, "rank",
+               (int64_t)SlPeers_DomainRank(router, Sl_STR("readers")));
+    SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
+    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
 static void
 on_read_due(void *context, uint64_t id, int64_t now_us)
 {
@@ -189,7 +205,7 @@
     SlLine_Int(router, "offset", (int64_t)record->offset);
     SlLine_Error(router, &record->u.err);
     SlLine_End(router, Sl_LOG_WARN);
-    SlRouter_Count(router, "records_unreadable");
+    SlMeasures_OnUnreadable(router, feed);
 }
 
 static void
@@ -202,6 +218,7 @@
     SlRouting_Unref(router->routing);
     router->routing = SlRouting_Ref(routing);
     router->routing_offset = record->offset;
+    router->routing_us = router->now_us;
     router->capacity_changed = true;
     SlOutbox_Add(router, Sl_RFX_LIMITS)->u.limits = *SlRouting_Limits(routing);
     SlLine_Begin(router, "configuration");
@@ -458,6 +475,7 @@
     if (event->err == NULL && event->u.feed.end <= state->next) {
         return; /* nothing new */
     }
+    enum sl_log_level level = event->err == NULL ? Sl_LOG_DEBUG : Sl_LOG_INFO;
     SlLine_Begin(router, event->err == NULL ? "pulled" : "pull_failed");
     SlLine_C(router, "feed", SlFeed_Name(event->u.feed.feed));
     if (event->err != NULL) {
@@ -467,7 +485,7 @@
         SlLine_Int(router, "records", (int64_t)event->u.feed.count);
         SlLine_Int(router, "end", (int64_t)event->u.feed.end);
     }
-    SlLine_End(router, Sl_LOG_INFO);
+    SlLine_End(router, level);
     if (event->err == NULL) {
         if (state->fail_since_us != 0) {
             /* The store is back for the peer: what lapsed may come back. */
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -16,50 +16,63 @@
 /* ---- answers of our own ---- */
 
 static void
-refuse(struct sl_router *router, uint64_t conn, int status, const char *step,
-       const char *reason, bool ran, int64_t retry_after_us)
+refuse(struct sl_router *router, uint64_t conn,
+       const struct sl_refusal *refusal)
 {
     struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_REPLY);
     effect->u.reply.conn = conn;
-    effect->u.reply.status = status;
+    effect->u.reply.status = refusal->status;
     effect->u.reply.is_own = true;
-    effect->u.reply.step = step;
-    effect->u.reply.reason = reason;
-    effect->u.reply.outcome = ran ? "unknown" : "not-run";
-    effect->u.reply.retry_after_us = retry_after_us;
+    effect->u.reply.step = refusal->step;
+    effect->u.reply.reason = refusal->reason;
+    effect->u.reply.outcome = refusal->ran ? "unknown" : "not-run";
+    effect->u.reply.retry_after_us = refusal->retry_after_us;
 }
 
 static void
-log_answer(struct sl_router *router, struct sl_str id, int status,
-           const char *step, const char *reason, bool ran, int64_t took_us)
+add_refusal(struct sl_router *router, const struct sl_refusal *refusal)
 {
-    SlLine_Begin(router, "answered");
-    SlLine_Str(router, "request", id);
-    SlLine_Int(router, "status", status);
-    SlLine_C(router, "step", step);
-    SlLine_C(router, "reason", reason);
-    SlLine_C(router, "outcome", ran ? "unknown" : "not-run");
-    SlLine_Int(router, "took_ms", took_us / Sl_US_PER_MS);
+    SlLine_Int(router, "status", refusal->status);
+    SlLine_C(router, "step", refusal->step);
+    SlLine_C(router, "reason", refusal->reason);
+    SlLine_C(router, "outcome", refusal->ran ? "unknown" : "not-run");
+    SlLine_Int(router, "retry_after_ms",
+               refusal->retry_after_us / Sl_US_PER_MS);
+}
+
+static void
+log_failure(struct sl_router *router, const struct sl_flight *flight,
+            const struct sl_refusal *refusal)
+{
+    SlLine_BeginLast(router, "answered", flight, true);
+    add_refusal(router, refusal);
+    SlLine_Int(router, "took_ms",
+               (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
+    SlLine_Int(router, "runs", flight->runs);
+    SlLine_Int(router, "tries", flight->tries);
+    SlLine_Int(router, "last_event", flight->last_event);
+    SlLine_Int(router, "waiting", (int64_t)router->queue->length);
+    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
     SlLine_End(router, Sl_LOG_INFO);
 }
 
 void
-SlFlight_Fail(struct sl_router *router, struct sl_flight *flight, int status,
-              const char *step, const char *reason, bool ran,
-              int64_t retry_after_us)
+SlFlight_Fail(struct sl_router *router, struct sl_flight *flight,
+              const struct sl_refusal *refusal)
 {
     SlCalls_Cancel(router, flight);
-    log_answer(router, flight->ask.id, status, step, reason, ran,
-               router->now_us - flight->arrived_us);
+    log_failure(router, flight, refusal);
     if (flight->state == Sl_FLIGHT_PASSING) {
         SlOutbox_Add(router, Sl_RFX_ABORT)->u.conn = flight->conn;
-        SlRouter_Count(router, "answers_cut");
     }
     else {
-        refuse(router, flight->conn, status, step, reason, ran,
-               retry_after_us);
-        SlRouter_Count(router, ran ? "answers_failed" : "answers_refused");
+        refuse(router, flight->conn, refusal);
     }
+    SlMeasures_OnEnd(router, flight->route,
+                     flight->state == Sl_FLIGHT_PASSING ? "cut"
+                     : refusal->ran                     ? "failed"
+                                                        : "refused",
+                     router->now_us - flight->arrived_us);
     SlFlight_End(router, flight);
 }
 
@@ -103,7 +116,10 @@
     }
     if (flight->has_arrived &&
         !SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_FAILURE)) {
-        SlRouter_Count(router, "repeats_over_budget");
+        SlLine_BeginFor(router, "repeat_denied", flight);
+        SlLine_Int(router, "runs", flight->runs);
+        SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
+        SlLine_End(router, Sl_LOG_INFO);
         return false;
     }
     SlWaiting_Add(router, flight);
@@ -116,8 +132,14 @@
 {
     if (!SlFlight_TryAgain(router, flight, may_have_run)) {
         bool ran = flight->runs > 0;
-        SlFlight_Fail(router, flight, ran ? 502 : 503, step, reason, ran,
-                      ran ? 0 : Sl_RETRY_AFTER_US);
+        const struct sl_refusal refusal = {
+            .status = ran ? 502 : 503,
+            .step = step,
+            .reason = reason,
+            .ran = ran,
+            .retry_after_us = ran ? 0 : Sl_RETRY_AFTER_US,
+        };
+        SlFlight_Fail(router, flight, &refusal);
     }
 }
 
@@ -132,9 +154,14 @@
     }
     flight->timer = 0;
     bool ran = flight->runs > 0 || flight->exchange.token != 0;
-    SlFlight_Fail(router, flight, ran ? 504 : 503, "deadline",
-                  "the deadline of the request or of its route has passed",
-                  ran, ran ? 0 : Sl_RETRY_AFTER_US);
+    const struct sl_refusal refusal = {
+        .status = ran ? 504 : 503,
+        .step = "deadline",
+        .reason = "the deadline of the request or of its route has passed",
+        .ran = ran,
+        .retry_after_us = ran ? 0 : Sl_RETRY_AFTER_US,
+    };
+    SlFlight_Fail(router, flight, &refusal);
 }
 
 /* ---- arrival ---- */
@@ -203,9 +230,24 @@
 refuse_ask(struct sl_router *router, const struct sl_ask *ask, int status,
            const char *step, const char *reason, int64_t retry_after_us)
 {
-    log_answer(router, ask->id, status, step, reason, false, 0);
-    refuse(router, ask->conn, status, step, reason, false, retry_after_us);
-    SlRouter_Count(router, "answers_refused");
+    const struct sl_refusal refusal = {
+        .status = status,
+        .step = step,
+        .reason = reason,
+        .retry_after_us = retry_after_us,
+    };
+    SlLine_Begin(router, "answered");
+    SlLine_Str(router, "request", ask->id);
+    SlLine_Str(router, "host", ask->host);
+    SlLine_Str(router, "target", ask->target);
+    add_refusal(router, &refusal);
+    SlLine_Int(router, "config",
+               router->routing == NULL ? -1
+                                       : SlRouting_Version(router->routing));
+    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlLine_End(router, Sl_LOG_INFO);
+    refuse(router, ask->conn, &refusal);
+    SlMeasures_OnEnd(router, NULL, "refused", 0);
 }
 
 /* The route and team of a request; NULL when it was refused. */
@@ -262,11 +304,14 @@
 static void
 log_arrival(struct sl_router *router, const struct sl_flight *flight)
 {
-    SlLine_Begin(router, "request");
-    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_BeginFor(router, "request", flight);
     SlLine_Name(router, "route", &flight->route->name);
     SlLine_Name(router, "service", &flight->service->name);
     SlLine_Int(router, "config", SlRouting_Version(router->routing));
+    SlLine_Int(router, "config_age_ms",
+               (router->now_us - router->routing_us) / Sl_US_PER_MS);
+    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlLine_Int(router, "priority", flight->priority);
     if (flight->team != NULL) {
         SlLine_Name(router, "team", &flight->team->name);
     }
@@ -282,10 +327,10 @@
 {
     const struct sl_team *team;
     const struct sl_route *route = admit(router, ask, &team);
-    SlRouter_Count(router, "requests");
     if (route == NULL) {
         return;
     }
+    SlMeasures_OnRequest(router, route);
     uint64_t session = session_of(ask);
     uint64_t hash = session != 0 ? session : SlHash_Bytes(0, ask->id);
     const struct sl_route_service *service =
@@ -318,6 +363,13 @@
     SlWaiting_Add(router, flight);
 }
 
+static const char *
+state_name(enum sl_flight_state state)
+{
+    static const char *const names[] = {"waiting", "calling", "passing"};
+    return names[state];
+}
+
 void
 SlFlight_OnGone(struct sl_router *router, uint64_t conn)
 {
@@ -325,12 +377,13 @@
     if (flight == NULL) {
         return;
     }
-    SlLine_Begin(router, "caller_gone");
-    SlLine_Str(router, "request", flight->ask.id);
+    SlLine_BeginLast(router, "caller_gone", flight, true);
     SlLine_Int(router, "after_ms",
                (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
     SlLine_Int(router, "last_event", flight->last_event);
+    SlLine_C(router, "state", state_name(flight->state));
     SlLine_End(router, Sl_LOG_INFO);
-    SlRouter_Count(router, "callers_gone");
+    SlMeasures_OnEnd(router, flight->route, "caller_gone",
+                     router->now_us - flight->arrived_us);
     SlFlight_End(router, flight);
 }
--- a/lib/router/sl_outbox.c
+++ b/lib/router/sl_outbox.c
@@ -69,12 +69,6 @@
     g_ptr_array_add(router->garbage, flight);
 }
 
-void
-SlRouter_Count(struct sl_router *router, const char *counter)
-{
-    SlCounters_Add(router->counters, counter, 1);
-}
-
 /* ---- log lines ---- */
 
 static void
@@ -88,6 +82,25 @@
 {
     SlBuf_Clear(&router->line);
     SlBuf_Printf(&router->line, "\"event\":\"%s\"", event);
+    router->line_request = 0;
+    router->line_end = Sl_LOG_GOES_ON;
+}
+
+void
+SlLine_BeginFor(struct sl_router *router, const char *event,
+                const struct sl_flight *flight)
+{
+    SlLine_Begin(router, event);
+    SlLine_Str(router, "request", flight->ask.id);
+    router->line_request = flight->order;
+}
+
+void
+SlLine_BeginLast(struct sl_router *router, const char *event,
+                 const struct sl_flight *flight, bool failed)
+{
+    SlLine_BeginFor(router, event, flight);
+    router->line_end = failed ? Sl_LOG_FAILED : Sl_LOG_WENT_WELL;
 }
 
 void
@@ -132,6 +145,8 @@
     char *text = g_strndup(router->line.ptr, router->line.len);
     struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_LOG);
     effect->u.line.level = level;
+    effect->u.line.request = router->line_request;
+    effect->u.line.end = router->line_end;
     effect->u.line.fields = (struct sl_str){text, router->line.len};
     SlOutbox_Keep(router, text);
 }
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -106,9 +106,37 @@
     return router->now_us - peer->heard_us > Sl_FORGET_US;
 }
 
+static void
+log_peer(struct sl_router *router, const struct sl_router_peer *peer,
+         const char *event)
+{
+    SlLine_Begin(router, event);
+    SlLine_Name(router, "peer", &peer->vm);
+    SlLine_Int(router, "silent_ms",
+               (router->now_us - peer->heard_us) / Sl_US_PER_MS);
+    SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
+static void
+note_silent(struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_router_peer *peer = value;
+        if (peer->is_up && !SlPeers_IsLive(router, peer)) {
+            peer->is_up = false;
+            log_peer(router, peer, "peer_down");
+        }
+    }
+}
+
 void
 SlPeers_Forget(struct sl_router *router)
 {
+    note_silent(router);
     g_hash_table_foreach_remove(router->peers, is_forgotten, router);
     router->peers_changed = true;
 }
@@ -139,11 +167,9 @@
     peer->digest = *digest;
     peer->heard_us = router->now_us;
     router->peers_changed = true;
-    if (!was_live || digest->leaving) {
-        SlLine_Begin(router, digest->leaving ? "peer_leaving" : "peer_up");
-        SlLine_Name(router, "peer", &digest->vm);
-        SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
-        SlLine_End(router, Sl_LOG_INFO);
+    if (digest->leaving ? peer->is_up : !was_live) {
+        peer->is_up = !digest->leaving;
+        log_peer(router, peer, digest->leaving ? "peer_leaving" : "peer_up");
     }
     return true;
 }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -50,6 +50,37 @@
     return is_target == (rule == Sl_VERSION_TARGET);
 }
 
+/* Does the list name the region? An empty list allows all. */
+static bool
+allows(const struct sl_name *regions, size_t count,
+       const struct sl_name *region)
+{
+    return count == 0 || SlName_IsListed(regions, count, region);
+}
+
+/* A domain whose region is not known is allowed only where all are. */
+static bool
+keeps_regions(const struct sl_router *router, const struct sl_flight *flight,
+              const struct sl_upstream *upstream)
+{
+    const struct sl_route *route = flight->route;
+    const struct sl_team *team = flight->team;
+    struct sl_name region = SlName_Of("");
+    if (route->region_count == 0 &&
+        (team == NULL || team->region_count == 0)) {
+        return true;
+    }
+    for (size_t i = 0; i < router->options.domain_count; i++) {
+        const struct sl_domain *domain = &router->options.domains[i];
+        if (SlName_Equal(&domain->name, &upstream->reg.domain)) {
+            region = domain->region;
+        }
+    }
+    return allows(route->regions, route->region_count, &region) &&
+           (team == NULL ||
+            allows(team->regions, team->region_count, &region));
+}
+
 static bool
 serves(const struct sl_router *router, const struct sl_flight *flight,
        const struct sl_upstream *upstream, enum sl_version_rule rule)
@@ -58,6 +89,7 @@
            !upstream->is_replaced &&
            SlName_Equal(&upstream->reg.service, &flight->service->name) &&
            !SlUpstreams_IsEvacuated(router, &upstream->reg.domain) &&
+           keeps_regions(router, flight, upstream) &&
            keeps_rule(router, flight, upstream, rule);
 }
 
@@ -124,16 +156,28 @@
     return cost;
 }
 
-struct sl_upstream *
-SlPlacement_Choose(struct sl_router *router, const struct sl_flight *flight,
-                   int64_t *wait_us)
+static void
+weigh(struct sl_choice *choice, struct sl_upstream *upstream, int64_t cost)
 {
-    struct sl_upstream *best = NULL;
-    int64_t best_cost = 0;
+    if (choice->upstream == NULL || cost < choice->cost_us) {
+        choice->second = choice->upstream;
+        choice->second_cost_us = choice->cost_us;
+        choice->upstream = upstream;
+        choice->cost_us = cost;
+    }
+    else if (choice->second == NULL || cost < choice->second_cost_us) {
+        choice->second = upstream;
+        choice->second_cost_us = cost;
+    }
+}
+
+struct sl_choice
+SlPlacement_Choose(struct sl_router *router, const struct sl_flight *flight)
+{
+    struct sl_choice choice = {.wait_us = Sl_NEVER_US};
     GHashTableIter iter;
     gpointer value;
     enum sl_version_rule rule = SlRollouts_RuleFor(router, flight);
-    *wait_us = Sl_NEVER_US;
     SlPeers_SumLoads(router);
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -141,16 +185,14 @@
         if (!serves(router, flight, upstream, rule)) {
             continue;
         }
+        choice.serving++;
         int64_t at = free_at(router, flight, upstream);
         if (at > router->now_us) {
-            *wait_us = MIN(*wait_us, at - router->now_us);
+            choice.full++;
+            choice.wait_us = MIN(choice.wait_us, at - router->now_us);
             continue;
         }
-        int64_t cost = cost_of(router, flight, upstream);
-        if (best == NULL || cost < best_cost) {
-            best = upstream;
-            best_cost = cost;
-        }
+        weigh(&choice, upstream, cost_of(router, flight, upstream));
     }
-    return best;
+    return choice;
 }
--- a/lib/router/sl_repeats.c
+++ b/lib/router/sl_repeats.c
@@ -93,10 +93,11 @@
 SlRepeats_Take(struct sl_router *router, const struct sl_name *service,
                enum sl_repeat_reason reason)
 {
-    if (SlRepeats_Left(router, service, reason) < 1) {
-        return false;
+    bool allowed = SlRepeats_Left(router, service, reason) >= 1;
+    SlMeasures_OnRepeat(router, service, reason, allowed);
+    if (allowed) {
+        struct sl_repeat_window *window = window_of(router, service);
+        window->repeats[slot_index(window)] += 1;
     }
-    struct sl_repeat_window *window = window_of(router, service);
-    window->repeats[slot_index(window)] += 1;
-    return true;
+    return allowed;
 }
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -86,6 +86,13 @@
     return rollout == NULL ? NULL : &rollout->order.version;
 }
 
+const char *
+SlRollouts_StateName(enum sl_rollout_state state)
+{
+    static const char *const names[] = {"running", "completed", "rolled_back"};
+    return names[state];
+}
+
 static int64_t
 elapsed_us(const struct sl_router *router, const struct sl_rollout *rollout)
 {
@@ -127,9 +134,9 @@
     return Sl_CANARY_OF_EXPOSURE * router->options.bounds.exposure_share;
 }
 
-/* Share of the sessions that the target may have now. */
-static double
-share_of(const struct sl_router *router, const struct sl_rollout *rollout)
+double
+SlRollouts_Share(const struct sl_router *router,
+                 const struct sl_rollout *rollout)
 {
     double canary = canary_share(router);
     if (rollout->suspect ||
@@ -232,7 +239,7 @@
     uint32_t key = flight->session != 0
                        ? session_key(flight)
                        : (uint32_t)SlHash_Bytes(0, flight->ask.id);
-    if (bucket_of(rollout, key) >= share_of(router, rollout)) {
+    if (bucket_of(rollout, key) >= SlRollouts_Share(router, rollout)) {
         return Sl_VERSION_BASE;
     }
     if (rollout->ramped_us == 0 && flight->session != 0 &&
@@ -444,7 +451,7 @@
         SlLine_End(router, Sl_LOG_INFO);
     }
     if (rollout->ramped_us != 0 && rollout->full_us == 0 &&
-        share_of(router, rollout) >= 1) {
+        SlRollouts_Share(router, rollout) >= 1) {
         rollout->full_us = router->now_us;
         log_rollout(router, rollout, "rollout_full");
         SlLine_End(router, Sl_LOG_INFO);
@@ -497,7 +504,7 @@
     effect->u.append.record.type = Sl_RECORD_STATUS;
     effect->u.append.record.u.status = *status;
     log_rollout(router, rollout, "rollout_write");
-    SlLine_Int(router, "state", status->state);
+    SlLine_C(router, "state", SlRollouts_StateName(status->state));
     SlLine_Int(router, "at", (int64_t)effect->u.append.at);
     SlLine_End(router, Sl_LOG_INFO);
 }
@@ -637,7 +644,7 @@
     }
     router->capacity_changed = true;
     log_rollout(router, rollout, "rollout_status");
-    SlLine_Int(router, "state", status->state);
+    SlLine_C(router, "state", SlRollouts_StateName(status->state));
     SlLine_Int(router, "ramped", status->ramped);
     SlLine_End(router, Sl_LOG_INFO);
 }
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -22,7 +22,9 @@
     router->now_us = options->now_us;
     router->random.state = options->seed;
     router->timers = SlTimers_New();
-    router->counters = SlCounters_New();
+    size_t measures;
+    const struct sl_metric_def *defs = SlRouter_Metrics(&measures);
+    router->metrics = SlMetrics_New(defs, measures);
     router->evacuated = g_hash_table_new_full(SlName_TableHash,
                                               SlName_TableEqual, NULL, g_free);
     router->upstreams = g_hash_table_new_full(
@@ -76,7 +78,7 @@
     g_hash_table_destroy(router->upstreams);
     g_hash_table_destroy(router->evacuated);
     SlRouting_Unref(router->routing);
-    SlCounters_Free(router->counters);
+    SlMetrics_Free(router->metrics);
     SlTimers_Free(router->timers);
     SlBuf_Free(&router->line);
     g_free(router);
@@ -265,23 +267,3 @@
     return router->routing != NULL && !router->draining &&
            router->feeds[Sl_FEED_UPSTREAMS].synced;
 }
-
-struct sl_counters *
-SlRouter_Counters(struct sl_router *router)
-{
-    return router->counters;
-}
-
-void
-SlRouter_Dump(const struct sl_router *router, struct sl_buf *out)
-{
-    SlBuf_Printf(out,
-                 "{\"ready\":%s,\"configuration\":%" G_GINT64_FORMAT
-                 ",\"in_flight\":%u,\"waiting\":%u,\"upstreams\":%u}",
-                 SlRouter_IsReady(router) ? "true" : "false",
-                 router->routing == NULL
-                     ? (gint64)-1
-                     : (gint64)SlRouting_Version(router->routing),
-                 g_hash_table_size(router->flights), router->queue->length,
-                 g_hash_table_size(router->upstreams));
-}
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -13,7 +13,7 @@
  *   3. Requests  what callers ask, and what upstreams answer
  *   4. Events    what can happen
  *   5. Effects   what a process does
- *   6. State     ready, counters, the state dump
+ *   6. State     ready, measures, the state dump
  */
 #ifndef Sl_ROUTER_H
 #define Sl_ROUTER_H
@@ -45,10 +45,20 @@
     int64_t contact_us;   /* silence after which a peer is out of touch */
 };
 
+/* Failure domains of one deployment that a router knows the regions of. */
+#define Sl_MAX_DOMAINS 32
+
+struct sl_domain {
+    struct sl_name name;
+    struct sl_name region;
+};
+
 struct sl_router_options {
     struct sl_name vm;
     struct sl_name domain;
     struct sl_name region;
+    size_t domain_count;
+    struct sl_domain domains[Sl_MAX_DOMAINS];
     struct sl_name peer_address; /* "IP:PORT" at which peers reach us */
     struct sl_bounds bounds;
     uint64_t boot; /* random, never 0; differs at every start */
@@ -350,6 +360,8 @@
         } page;
         struct {
             enum sl_log_level level;
+            uint64_t request; /* differs between requests; 0: of none */
+            enum sl_log_end end;
             struct sl_str fields; /* JSON members: "event":"sent",... */
         } line;
     } u;
@@ -366,8 +378,16 @@
 
 /* May it take new connections? */
 bool SlRouter_IsReady(const struct sl_router *router);
-struct sl_counters *SlRouter_Counters(struct sl_router *router);
-/* Appends the state as one JSON object. */
-void SlRouter_Dump(const struct sl_router *router, struct sl_buf *out);
+/* What it measures, a definition each; static. */
+const struct sl_metric_def *SlRouter_Metrics(size_t *count);
+/* Appends the measures as Prometheus text. */
+void SlRouter_MetricsText(struct sl_router *router, struct sl_buf *out);
+/* The shell has left out log lines since the last call; `reason` is "sampled"
+ * or "full". */
+void SlRouter_CountLeftOut(struct sl_router *router, const char *reason,
+                           uint64_t lines);
+/* Appends the state as one JSON object: configuration, queues by service,
+ * upstreams, roll-outs, peers. */
+void SlRouter_Dump(struct sl_router *router, struct sl_buf *out);
 
 #endif
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -2,6 +2,7 @@
  * Shared by the files of sl_router.
  *
  * sl_router.c     dispatcher of events, start, drain, timers
+ * sl_dump.c       state as JSON
  * sl_feeds.c      following the store's topics
  * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
@@ -19,6 +20,7 @@
  * sl_upstreams.c  what is believed of upstreams
  * sl_pace.c       how fast models read prompts
  * sl_events.c     events of a stream, one by one
+ * sl_measures.c   counts and times for operators
  * sl_outbox.c     effects
  *
  * Arrows point down this list.
@@ -30,6 +32,7 @@
 #include "sl_router.h"
 
 #include <assert.h>
+#include <string.h>
 
 /* ---- upstreams ---- */
 
@@ -104,6 +107,7 @@
     struct sl_name address;
     int64_t heard_us; /* or when it was first heard of */
     int64_t sent_us;
+    bool is_up;              /* as last logged */
     struct sl_gossip digest; /* the newest; boot 0: none yet */
 };
 
@@ -221,6 +225,7 @@
     bool has_arrived;       /* at some upstream: another call is a repeat */
     bool may_repeat;
     int64_t last_event; /* the newest one the caller has; -1: none */
+    int64_t passed_us;  /* when that was passed on */
     size_t tried_count;
     struct sl_name tried[Sl_MAX_TRIED];
     struct sl_exchange exchange;
@@ -260,20 +265,25 @@
     int64_t wall_ms;
     struct sl_random random;
     struct sl_timers *timers;
-    struct sl_counters *counters;
+    struct sl_metrics *metrics;   /* by enum sl_measure */
     struct sl_router_effects *fx; /* of the event in hand */
     uint64_t last_token;
     uint64_t last_order;
-    struct sl_buf line; /* the log line in hand */
+    struct sl_buf line; /* the log line in hand, and whose it is */
+    uint64_t line_request;
+    enum sl_log_end line_end;
 
     struct sl_feed_state feeds[Sl_FEED_COUNT];
     int64_t store_seen_us; /* when it last answered; 0: never */
     int64_t store_back_us; /* when the store last came back; 0: never away */
+    bool reads_store;      /* for its failure domain, as last logged */
     struct sl_routing *routing; /* NULL until one is known */
     uint64_t routing_offset;
+    int64_t routing_us;    /* when it was taken */
     GHashTable *evacuated; /* domain name -> itself, owned */
 
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
+    size_t lapsing;        /* of them, those with a `lapse_us` */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
     GHashTable *runs;      /* service name -> double, length in us, owned */
     GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
@@ -306,6 +316,63 @@
     GPtrArray *garbage; /* freed at the next event: effects point to it */
 };
 
+/* ---- measures ---- */
+
+enum sl_measure {
+    Sl_MEASURE_REQUESTS,
+    Sl_MEASURE_ANSWER,
+    Sl_MEASURE_FIRST,
+    Sl_MEASURE_GAP,
+    Sl_MEASURE_QUEUE,
+    Sl_MEASURE_CALLS,
+    Sl_MEASURE_CALLS_FAILED,
+    Sl_MEASURE_DOUBTED,
+    Sl_MEASURE_REPEATS,
+    Sl_MEASURE_REPEATS_DENIED,
+    Sl_MEASURE_LOAD_BELIEVED,
+    Sl_MEASURE_LOAD_TOLD,
+    Sl_MEASURE_LOAD_ERROR,
+    Sl_MEASURE_UNREADABLE,
+    Sl_MEASURE_IN_FLIGHT,
+    Sl_MEASURE_WAITING,
+    Sl_MEASURE_UPSTREAMS,
+    Sl_MEASURE_FLEET,
+    Sl_MEASURE_CONFIGURATION,
+    Sl_MEASURE_STORE_AGE,
+    Sl_MEASURE_READY,
+    Sl_MEASURE_LOG_LEFT_OUT,
+    Sl_MEASURE_COUNT,
+};
+
+/* Why a repeat is wanted. */
+enum sl_repeat_reason {
+    Sl_REPEAT_FAILURE, /* an attempt failed */
+    Sl_REPEAT_DOUBT,   /* an answer of a smaller model is not sure enough */
+};
+
+void SlMeasures_OnRequest(struct sl_router *router,
+                          const struct sl_route *route);
+/* `route` is NULL when none was found. */
+void SlMeasures_OnEnd(struct sl_router *router, const struct sl_route *route,
+                      const char *outcome, int64_t took_us);
+/* An event of a stream is about to be passed on. */
+void SlMeasures_OnEvent(struct sl_router *router,
+                        const struct sl_flight *flight, bool is_first);
+void SlMeasures_OnCall(struct sl_router *router,
+                       const struct sl_flight *flight);
+void SlMeasures_OnCallFailed(struct sl_router *router,
+                             const struct sl_flight *flight,
+                             const char *reason);
+void SlMeasures_OnDoubted(struct sl_router *router,
+                          const struct sl_flight *flight);
+void SlMeasures_OnRepeat(struct sl_router *router,
+                         const struct sl_name *service,
+                         enum sl_repeat_reason reason, bool allowed);
+/* An upstream told its load, in requests. */
+void SlMeasures_OnLoad(struct sl_router *router, const struct sl_name *service,
+                       int64_t believed, int64_t told);
+void SlMeasures_OnUnreadable(struct sl_router *router, enum sl_feed feed);
+
 /* ---- outbox ---- */
 
 struct sl_router_effect *SlOutbox_Add(struct sl_router *router,
@@ -314,6 +381,11 @@
 void SlOutbox_Keep(struct sl_router *router, gpointer memory);
 /* A log line: begin, add members, end. `level` decides whether it shows. */
 void SlLine_Begin(struct sl_router *router, const char *event);
+/* As SlLine_Begin(), for a line about a request; and for its last line. */
+void SlLine_BeginFor(struct sl_router *router, const char *event,
+                     const struct sl_flight *flight);
+void SlLine_BeginLast(struct sl_router *router, const char *event,
+                      const struct sl_flight *flight, bool failed);
 void SlLine_Str(struct sl_router *router, const char *key,
                 struct sl_str value);
 void SlLine_Name(struct sl_router *router, const char *key,
@@ -322,7 +394,6 @@
 void SlLine_Int(struct sl_router *router, const char *key, int64_t value);
 void SlLine_Error(struct sl_router *router, const struct sl_error *err);
 void SlLine_End(struct sl_router *router, enum sl_log_level level);
-void SlRouter_Count(struct sl_router *router, const char *counter);
 /* Frees a flight at the next event: effects of this one point into it. */
 void SlRouter_FreeLater(struct sl_router *router, struct sl_flight *flight);
 
@@ -351,6 +422,9 @@
  * counts as cold until it is heard of, or for `cold_start_us`. */
 void SlUpstreams_OnGood(struct sl_router *router, struct sl_upstream *upstream,
                         int64_t cold_start_us);
+/* "usable", "shunned", "cold", "draining", "replaced" or "evacuated". */
+const char *SlUpstreams_State(const struct sl_router *router,
+                              const struct sl_upstream *upstream);
 /* It could not be reached, or broke off: it is shunned for a while. */
 void SlUpstreams_OnFailure(struct sl_router *router,
                            struct sl_upstream *upstream);
@@ -360,6 +434,7 @@
                             struct sl_upstream *upstream);
 /* A peer has found an upstream failing. */
 void SlUpstreams_OnToldFault(struct sl_router *router,
+                             const struct sl_name *teller,
                              const struct sl_gossip_fault *fault);
 /* Did this router itself find it failing, lately? */
 bool SlUpstreams_IsOwnFault(const struct sl_router *router,
@@ -462,14 +537,30 @@
 void SlRollouts_OnAnswer(struct sl_router *router,
                          const struct sl_flight *flight, bool bad);
 void SlRollouts_Free(gpointer rollout);
+/* "running", "completed" or "rolled_back". */
+const char *SlRollouts_StateName(enum sl_rollout_state state);
+/* Share of the sessions that the target may have now, 0 to 1. */
+double SlRollouts_Share(const struct sl_router *router,
+                        const struct sl_rollout *rollout);
 
 /* ---- placement ---- */
 
-/* The upstream that should run the flight now, or NULL when none can. Then
- * `wait_us` is a guess of when one may, Sl_NEVER_US when there is none. */
-struct sl_upstream *SlPlacement_Choose(struct sl_router *router,
-                                       const struct sl_flight *flight,
-                                       int64_t *wait_us);
+/* What a choice of an upstream weighed. Costs are times to the first event
+ * with what else the choice costs, as time. */
+struct sl_choice {
+    struct sl_upstream *upstream; /* NULL: none can run the flight now */
+    int64_t cost_us;
+    const struct sl_upstream *second; /* the next best; NULL: none */
+    int64_t second_cost_us;
+    unsigned serving; /* upstreams that serve it, */
+    unsigned full;    /* and those of them that cannot take it now */
+    int64_t wait_us;  /* a guess of when one of those may; Sl_NEVER_US when
+                         there is none */
+};
+
+/* The upstream that should run the flight now. */
+struct sl_choice SlPlacement_Choose(struct sl_router *router,
+                                    const struct sl_flight *flight);
 
 /* ---- early requests ---- */
 
@@ -497,11 +588,6 @@
 void SlWaiting_Run(struct sl_router *router);
 /* ---- repeats ---- */
 
-enum sl_repeat_reason {
-    Sl_REPEAT_FAILURE,
-    Sl_REPEAT_DOUBT, /* another model may know better */
-};
-
 /* A request for the service has come. */
 void SlRepeats_OnFirst(struct sl_router *router,
                        const struct sl_name *service);
@@ -526,7 +612,7 @@
 /* ---- calls ---- */
 
 void SlCalls_Send(struct sl_router *router, struct sl_flight *flight,
-                  struct sl_upstream *upstream);
+                  const struct sl_choice *choice);
 /* The call has ended, or is not wanted any more. */
 void SlCalls_Detach(struct sl_router *router, struct sl_flight *flight);
 /* Stops the call that is under way, if any. */
@@ -555,12 +641,20 @@
 
 /* ---- ends of flights ---- */
 
+/* An answer of our own. Texts are static. */
+struct sl_refusal {
+    int status;
+    const char *step;
+    const char *reason;
+    bool ran;               /* or may have; false only on proof */
+    int64_t retry_after_us; /* 0: no time is named */
+};
+
 /* The model that the flight asks for now; empty: none. */
 struct sl_str SlFlight_Model(const struct sl_flight *flight);
-/* Ends with an answer of our own. `ran` is false only on proof. */
+/* Ends with an answer of our own. */
 void SlFlight_Fail(struct sl_router *router, struct sl_flight *flight,
-                   int status, const char *step, const char *reason, bool ran,
-                   int64_t retry_after_us);
+                   const struct sl_refusal *refusal);
 /* Removes a flight whose answer has ended. */
 void SlFlight_End(struct sl_router *router, struct sl_flight *flight);
 /* Sends the flight to another upstream, if it may and the budget of repeats
@@ -591,6 +685,8 @@
 /* Reads a feed now, unless it is being read or soon will be. */
 void SlFeeds_Read(struct sl_router *router, enum sl_feed feed);
 /* Time since the store last answered; UINT32_MAX: it never did. */
+/* Logs when this router begins or ends to read the store for its domain. */
+void SlFeeds_NoteDuty(struct sl_router *router);
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -62,6 +62,15 @@
     return upstream;
 }
 
+static void
+set_lapse(struct sl_router *router, struct sl_upstream *upstream,
+          int64_t lapse_us)
+{
+    router->lapsing -= upstream->lapse_us != 0 ? 1 : 0;
+    router->lapsing += lapse_us != 0 ? 1 : 0;
+    upstream->lapse_us = lapse_us;
+}
+
 /* A new start under the id that it had: it holds nothing of before. */
 static bool
 has_restarted(const struct sl_upstream *upstream,
@@ -105,7 +114,7 @@
         router->options.bounds.heartbeat_us + Sl_NEWS_AGE_US) {
         upstream->was_lost = false;
     }
-    upstream->lapse_us = 0;
+    set_lapse(router, upstream, 0);
     upstream->cold_until_us =
         reg->cold_us > 0 ? router->now_us + reg->cold_us : 0;
     if (appeared) {
@@ -128,7 +137,7 @@
 remove_upstream(struct sl_router *router, struct sl_upstream *upstream)
 {
     upstream->listed = false;
-    upstream->lapse_us = 0;
+    set_lapse(router, upstream, 0);
     log_upstream(router, upstream, "upstream_gone");
     if (upstream->in_flight == 0) {
         free_upstream(router, upstream);
@@ -145,7 +154,7 @@
     int64_t grace_end = router->store_back_us + Sl_LAPSE_GRACE_US;
     if (router->store_back_us != 0 && router->now_us < grace_end &&
         !upstream->reg.draining) {
-        upstream->lapse_us = grace_end;
+        set_lapse(router, upstream, grace_end);
         log_upstream(router, upstream, "upstream_lapsed");
         return;
     }
@@ -168,6 +177,9 @@
 void
 SlUpstreams_Expire(struct sl_router *router)
 {
+    if (router->lapsing == 0) {
+        return;
+    }
     GList *all = g_hash_table_get_values(router->upstreams);
     for (const GList *at = all; at != NULL; at = at->next) {
         struct sl_upstream *upstream = at->data;
@@ -185,6 +197,25 @@
     return g_hash_table_contains(router->evacuated, domain);
 }
 
+const char *
+SlUpstreams_State(const struct sl_router *router,
+                  const struct sl_upstream *upstream)
+{
+    if (upstream->is_replaced) {
+        return "replaced";
+    }
+    if (upstream->reg.draining) {
+        return "draining";
+    }
+    if (SlUpstreams_IsEvacuated(router, &upstream->reg.domain)) {
+        return "evacuated";
+    }
+    if (upstream->shun_until_us > router->now_us) {
+        return "shunned";
+    }
+    return upstream->cold_until_us > router->now_us ? "cold" : "usable";
+}
+
 /* ---- load ---- */
 
 int64_t
@@ -337,11 +368,20 @@
                    const struct sl_answer_head *head)
 {
     if (head->has_load) {
+        SlMeasures_OnLoad(router, &upstream->reg.service,
+                          SlUpstreams_Load(router, upstream),
+                          head->running + head->waiting);
         upstream->told_us = router->now_us;
         upstream->told_load = head->running + head->waiting;
         upstream->sent_since = 0;
     }
     if (head->cold_us >= 0) {
+        if (head->cold_us > 0 && upstream->cold_until_us <= router->now_us) {
+            SlLine_Begin(router, "upstream_cold");
+            SlLine_Name(router, "upstream", &upstream->reg.id);
+            SlLine_Int(router, "cold_ms", head->cold_us / Sl_US_PER_MS);
+            SlLine_End(router, Sl_LOG_INFO);
+        }
         upstream->cold_until_us =
             head->cold_us > 0 ? router->now_us + head->cold_us : 0;
     }
@@ -353,6 +393,9 @@
 SlUpstreams_OnGood(struct sl_router *router, struct sl_upstream *upstream,
                    int64_t cold_start_us)
 {
+    if (upstream->failures > 0) {
+        log_upstream(router, upstream, "upstream_recovered");
+    }
     upstream->failures = 0;
     upstream->fault_us = 0;
     if (upstream->was_lost) {
@@ -408,7 +451,7 @@
 }
 
 void
-SlUpstreams_OnToldFault(struct sl_router *router,
+SlUpstreams_OnToldFault(struct sl_router *router, const struct sl_name *teller,
                         const struct sl_gossip_fault *fault)
 {
     struct sl_upstream *upstream =
@@ -417,6 +460,13 @@
         router->now_us - upstream->bytes_us < Sl_TOLD_FAULT_US) {
         return; /* it has just answered here */
     }
+    if (upstream->shun_until_us <= router->now_us) {
+        SlLine_Begin(router, "upstream_suspected");
+        SlLine_Name(router, "upstream", &upstream->reg.id);
+        SlLine_Name(router, "told_by", teller);
+        SlLine_Int(router, "pause_ms", Sl_TOLD_FAULT_US / Sl_US_PER_MS);
+        SlLine_End(router, Sl_LOG_INFO);
+    }
     upstream->was_lost = true;
     upstream->lost_us = router->now_us;
     shun(router, upstream, Sl_TOLD_FAULT_US);
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -83,17 +83,42 @@
     return wait_us * (int64_t)(ahead + 1) + run_us / 2 > left_us;
 }
 
+/* Why a flight has no upstream. */
 static void
-refuse(struct sl_router *router, struct sl_flight *flight, int64_t wait_us)
+log_choice(struct sl_router *router, const struct sl_flight *flight,
+           const struct sl_choice *choice, const char *event)
 {
+    SlLine_BeginFor(router, event, flight);
+    SlLine_Int(router, "serving", choice->serving);
+    SlLine_Int(router, "full", choice->full);
+    SlLine_Int(
+        router, "expected_wait_ms",
+        choice->wait_us == Sl_NEVER_US ? -1 : choice->wait_us / Sl_US_PER_MS);
+    SlLine_Int(router, "left_ms",
+               (flight->deadline_us - router->now_us) / Sl_US_PER_MS);
+    SlLine_Int(router, "waiting", (int64_t)router->queue->length);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
+static void
+refuse(struct sl_router *router, struct sl_flight *flight,
+       const struct sl_choice *choice)
+{
+    int64_t wait_us = choice->wait_us;
     int64_t left_us = flight->deadline_us - router->now_us;
     int64_t retry_us = wait_us == Sl_NEVER_US ? left_us / 3 : wait_us;
     retry_us = CLAMP(retry_us, Sl_LEAST_RETRY_US, Sl_MOST_RETRY_US);
     bool ran = flight->runs > 0;
-    SlFlight_Fail(router, flight, ran ? 502 : 503, "placement",
-                  wait_us == Sl_NEVER_US ? "no upstream can take the request"
+    const struct sl_refusal refusal = {
+        .status = ran ? 502 : 503,
+        .step = "placement",
+        .reason = wait_us == Sl_NEVER_US ? "no upstream can take the request"
                                          : "the request would wait too long",
-                  ran, ran ? 0 : retry_us);
+        .ran = ran,
+        .retry_after_us = ran ? 0 : retry_us,
+    };
+    log_choice(router, flight, choice, "unplaced");
+    SlFlight_Fail(router, flight, &refusal);
 }
 
 void
@@ -110,18 +135,19 @@
         struct sl_flight *flight = waiting->pdata[i];
         gpointer key = (gpointer)flight->service;
         size_t count = GPOINTER_TO_SIZE(g_hash_table_lookup(ahead, key));
-        int64_t wait_us;
-        struct sl_upstream *upstream =
-            SlPlacement_Choose(router, flight, &wait_us);
-        if (upstream != NULL) {
+        struct sl_choice choice = SlPlacement_Choose(router, flight);
+        if (choice.upstream != NULL) {
             SlWaiting_Remove(router, flight);
-            SlCalls_Send(router, flight, upstream);
+            SlCalls_Send(router, flight, &choice);
         }
-        else if (is_hopeless(router, flight, wait_us, count)) {
-            refuse(router, flight, wait_us);
+        else if (is_hopeless(router, flight, choice.wait_us, count)) {
+            refuse(router, flight, &choice);
         }
         else {
-            soonest = MIN(soonest, wait_us);
+            if (flight->queued_us == router->now_us) {
+                log_choice(router, flight, &choice, "queued");
+            }
+            soonest = MIN(soonest, choice.wait_us);
             g_hash_table_insert(ahead, key, GSIZE_TO_POINTER(count + 1));
         }
     }
--- a/programs/sassafrasctl.c
+++ b/programs/sassafrasctl.c
@@ -32,6 +32,8 @@
     {"wait", 1, 1, false, true, SlCtl_Wait},
     {"state", 0, 0, false, true, SlCtl_State},
     {"counters", 0, 0, false, true, SlCtl_Counters},
+    {"check-platform", 1, Sl_ANY_NUMBER, false, false, SlCtl_CheckPlatform},
+    {"explain", 2, Sl_ANY_NUMBER, false, false, SlCtl_Explain},
 };
 
 static const char summary[] =
@@ -49,7 +51,13 @@
     "  bills                show each bill once, with totals\n"
     "  wait REVISION        wait until it is in force on all --admin\n"
     "  state                show the state of each process at --admin\n"
-    "  counters             show the counters of each process at --admin";
+    "  counters             show the counters of each process at --admin\n"
+    "  check-platform FILE...\n"
+    "                       check a router's settings (lines of key=value) "
+    "or\n"
+    "                       a routing configuration (a JSON object)\n"
+    "  explain ID LOG...    tell the story of a request from routers' logs;\n"
+    "                       - reads standard input";
 
 static const char description[] =
     "Exit codes:\n"
--- a/programs/sassafrasctl.h
+++ b/programs/sassafrasctl.h
@@ -138,5 +138,7 @@
 enum sl_ctl_exit SlCtl_Wait(struct sl_ctl *ctl, char **args);
 enum sl_ctl_exit SlCtl_State(struct sl_ctl *ctl, char **args);
 enum sl_ctl_exit SlCtl_Counters(struct sl_ctl *ctl, char **args);
+enum sl_ctl_exit SlCtl_Explain(struct sl_ctl *ctl, char **args);
+enum sl_ctl_exit SlCtl_CheckPlatform(struct sl_ctl *ctl, char **args);
 
 #endif
--- a/programs/sassafrasd.c
+++ b/programs/sassafrasd.c
@@ -16,6 +16,8 @@
 struct sl_arguments {
     char *settings;
     char *role;
+    int metrics_port;
+    gboolean quiet;
 };
 
 /* ---- helpers ---- */
@@ -54,6 +56,10 @@
          "entry, agent or router; entry and agent must agree with the "
          "settings",
          "ROLE"},
+        {"metrics-port", 'm', 0, G_OPTION_ARG_INT, &arguments->metrics_port,
+         "With --role router: serve /metrics and /state here", "PORT"},
+        {"quiet", 'q', 0, G_OPTION_ARG_NONE, &arguments->quiet,
+         "With --role router: log errors only", NULL},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
     };
     GError *error = NULL;
@@ -63,7 +69,8 @@
         options,
         "Runs one process of sassafrasledge, as entry, agent or router. A\n"
         "router calls its upstreams itself and takes its settings from the\n"
-        "platform, from the file that SASSAFRASLEDGE_SETTINGS names.");
+        "platform, from the file that SASSAFRASLEDGE_SETTINGS names; its log\n"
+        "goes to standard output.");
     g_option_context_set_description(
         options,
         "Signals: SIGTERM and SIGINT drain the process, SIGUSR1 writes its\n"
@@ -158,7 +165,11 @@
     int code = Sl_EXIT_USAGE;
     signal(SIGPIPE, SIG_IGN);
     if (parse_arguments(argc, argv, &arguments)) {
-        code = is_router(&arguments) ? SlRouterShell_Main(Sl_LOG_INFO)
+        const struct sl_router_shell_options router = {
+            .level = arguments.quiet ? Sl_LOG_ERROR : Sl_LOG_INFO,
+            .metrics_port = arguments.metrics_port,
+        };
+        code = is_router(&arguments) ? SlRouterShell_Main(&router)
                : load_settings(&arguments, &settings) ? run(&settings)
                                                       : Sl_EXIT_SETTINGS;
     }
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -70,8 +70,9 @@
 /* ---- log ---- */
 
 void
-SlRouterShell_Log(struct sl_router_shell *shell, enum sl_log_level level,
-                  struct sl_str fields)
+SlRouterShell_LogFor(struct sl_router_shell *shell, enum sl_log_level level,
+                     uint64_t request, enum sl_log_end end,
+                     struct sl_str fields)
 {
     static const char *const names[] = {"debug", "info", "warn", "error"};
     if (level < shell->level) {
@@ -84,7 +85,7 @@
                  (gint64)wall_ms(), names[level], shell->settings.vm.text);
     SlBuf_Append(&shell->line, fields);
     SlBuf_AppendC(&shell->line, "}\n");
-    SlLogSink_Write(shell->sink, SlBuf_Str(&shell->line));
+    SlLogSampler_Write(shell->sampler, request, end, SlBuf_Str(&shell->line));
     if (SlLogSink_Fill(shell->sink) > Sl_LOG_FLUSH_FILL) {
         SlLogSink_Flush(shell->sink);
     }
@@ -94,6 +95,13 @@
     }
 }
 
+void
+SlRouterShell_Log(struct sl_router_shell *shell, enum sl_log_level level,
+                  struct sl_str fields)
+{
+    SlRouterShell_LogFor(shell, level, 0, Sl_LOG_GOES_ON, fields);
+}
+
 static void
 on_flush(evutil_socket_t fd, short what, void *context)
 {
@@ -198,6 +206,18 @@
     SlRouterShell_Dispatch(context, &event);
 }
 
+static void
+count_left_out(struct sl_router_shell *shell)
+{
+    uint64_t sampled = SlLogSampler_LeftOut(shell->sampler);
+    uint64_t full = SlLogSink_LeftOut(shell->sink);
+    SlRouter_CountLeftOut(shell->router, "sampled",
+                          sampled - shell->sampled_counted);
+    SlRouter_CountLeftOut(shell->router, "full", full - shell->full_counted);
+    shell->sampled_counted = sampled;
+    shell->full_counted = full;
+}
+
 static void
 on_check(void *context, uint64_t conn, const struct sl_head *head,
          struct sl_str body)
@@ -209,6 +229,31 @@
     SlServer_Reply(shell->checks, conn, status, Sl_STR(""), Sl_STR(""));
 }
 
+/* Metrics, and the state in short. */
+static void
+on_metrics(void *context, uint64_t conn, const struct sl_head *head,
+           struct sl_str body)
+{
+    struct sl_router_shell *shell = context;
+    struct sl_buf text = {0};
+    struct sl_str type = Sl_STR("Content-Type: text/plain; version=0.0.4\r\n");
+    int status = 200;
+    (void)body;
+    if (SlStr_Equal(head->target, Sl_STR("/metrics"))) {
+        count_left_out(shell);
+        SlRouter_MetricsText(shell->router, &text);
+    }
+    else if (SlStr_Equal(head->target, Sl_STR("/state"))) {
+        type = Sl_STR("Content-Type: application/json\r\n");
+        SlRouter_Dump(shell->router, &text);
+    }
+    else {
+        status = 404;
+    }
+    SlServer_Reply(shell->metrics, conn, status, type, SlBuf_Str(&text));
+    SlBuf_Free(&text);
+}
+
 static void
 on_check_gone(void *context, uint64_t conn)
 {
@@ -447,7 +492,9 @@
         SlRouterPeers_Perform(shell->peers, effect);
         break;
     case Sl_RFX_LOG:
-        SlRouterShell_Log(shell, effect->u.line.level, effect->u.line.fields);
+        SlRouterShell_LogFor(shell, effect->u.line.level,
+                             effect->u.line.request, effect->u.line.end,
+                             effect->u.line.fields);
         break;
     case Sl_RFX_CLOSE_CONNS:
         SlServer_Drain(shell->callers);
@@ -489,10 +536,32 @@
         .seed = random_number(),
         .now_us = steady_us(),
     };
+    options.domain_count = settings->domain_count;
+    memcpy(options.domains, settings->domains, sizeof(options.domains));
     shell->router = SlRouter_New(&options);
     shell->effects = SlRouterEffects_New();
 }
 
+static bool
+start_metrics(struct sl_router_shell *shell, struct sl_error *err)
+{
+    struct sl_buf address = {0};
+    if (shell->metrics_port == 0) {
+        return true; /* not wanted */
+    }
+    SlBuf_Printf(&address, "%s:%d", shell->settings.ip.text,
+                 shell->metrics_port);
+    struct sl_server_options metrics = {
+        .base = shell->base,
+        .handlers = {on_metrics, on_check_gone, shell},
+        .limits = ready_limits,
+    };
+    (void)SlName_Set(&metrics.address, SlBuf_Str(&address));
+    SlBuf_Free(&address);
+    shell->metrics = SlServer_New(&metrics, err);
+    return shell->metrics != NULL;
+}
+
 static bool
 start_servers(struct sl_router_shell *shell, struct sl_error *err)
 {
@@ -515,7 +584,7 @@
         return false;
     }
     shell->checks = SlServer_New(&checks, err);
-    return shell->checks != NULL;
+    return shell->checks != NULL && start_metrics(shell, err);
 }
 
 static bool
@@ -529,6 +598,7 @@
         .max_idle_per_address = Sl_MAX_IDLE_PER_ADDRESS,
     };
     shell->sink = SlLogSink_New(&sink);
+    shell->sampler = SlLogSampler_New(shell->sink);
     shell->timer = event_new(shell->base, -1, 0, on_timer, shell);
     shell->flush = event_new(shell->base, -1, 0, on_flush, shell);
     shell->calls =
@@ -551,6 +621,7 @@
 stop(struct sl_router_shell *shell)
 {
     SlRouterPeers_Free(shell->peers);
+    SlServer_Free(shell->metrics);
     SlServer_Free(shell->checks);
     SlServer_Free(shell->callers);
     SlStore_Free(shell->store);
@@ -560,6 +631,7 @@
     g_hash_table_destroy(shell->calls);
     event_free(shell->flush);
     event_free(shell->timer);
+    SlLogSampler_Free(shell->sampler);
     SlLogSink_Free(shell->sink);
     SlBuf_Free(&shell->relay);
     SlBuf_Free(&shell->line);
@@ -583,9 +655,12 @@
 }
 
 int
-SlRouterShell_Main(enum sl_log_level level)
+SlRouterShell_Main(const struct sl_router_shell_options *options)
 {
-    struct sl_router_shell shell = {.level = level};
+    struct sl_router_shell shell = {
+        .level = options->level,
+        .metrics_port = options->metrics_port,
+    };
     struct sl_error err;
     int code = Sl_EXIT_START;
     if (!load_settings(&shell.settings)) {
--- a/programs/sassafrasd_router_internal.h
+++ b/programs/sassafrasd_router_internal.h
@@ -13,6 +13,9 @@
     struct sl_platform_settings settings;
     struct event_base *base;
     struct sl_log_sink *sink;
+    struct sl_log_sampler *sampler;
+    uint64_t sampled_counted; /* left out lines that metrics know of */
+    uint64_t full_counted;
     enum sl_log_level level;
     struct sl_router *router;
     struct sl_router_effects *effects;
@@ -20,6 +23,8 @@
     struct sl_store *store;
     struct sl_server *callers;
     struct sl_server *checks;
+    int metrics_port;
+    struct sl_server *metrics; /* NULL: not wanted */
     struct event *timer;
     struct event *flush;
     struct sl_router_peers *peers;
@@ -35,6 +40,10 @@
 void SlRouterShell_Dispatch(struct sl_router_shell *shell,
                             struct sl_router_event *event);
 /* Writes a log line; `fields` are JSON members. */
+void SlRouterShell_LogFor(struct sl_router_shell *shell,
+                          enum sl_log_level level, uint64_t request,
+                          enum sl_log_end end, struct sl_str fields);
+/* As SlRouterShell_LogFor(), for a line that concerns no request. */
 void SlRouterShell_Log(struct sl_router_shell *shell, enum sl_log_level level,
                        struct sl_str fields);
 
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -5,11 +5,11 @@
 // A script line is a word and "key=value" members; values hold no spaces, and
 // "~" stands for a line's end in them.
 //   include FILE
-//   start [vm=] [domain=] [exposure=]              the process starts
+//   start [vm=] [domain=] [exposure=] [regions=DOMAIN:REGION,..]
 //   service NAME [engine] [slots=] [models=a,b] [cold-s=] [cold-per-s=]
 //   route NAME host= prefix= kind= to=S[:W],.. [timeout=] [target=]
-//     [attempts=] [priority=] [models=a,b] [resumable] [public]
-//   team NAME keys=a,b [priority=]
+//     [attempts=] [priority=] [models=a,b] [resumable] [public] [regions=]
+//   team NAME keys=a,b [priority=] [regions=]
 //   publish VERSION        the services, routes and teams so far
 //   upstream ID service= [domain=] [version=] [slots=] [cold=MS] [draining]
 //     [seq=] [born=]
@@ -26,7 +26,7 @@
 //     [fault=ID[:replaced],..] [order=] [elapsed=MS] [leaving]
 //     [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
-//   drain | show WORD... | hide WORD... | +MS
+//   drain | show WORD... | hide WORD... | metrics WORD... | +MS
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -215,6 +215,7 @@
                 {"drain", &Script::on_drain},
                 {"show", &Script::on_show},
                 {"hide", &Script::on_show},
+                {"metrics", &Script::on_metrics},
             };
         if (line[0] == '+') {
             world.pass(std::stoll(line.substr(1)));
@@ -233,7 +234,8 @@
     {
         struct sl_bounds bounds = small_bounds();
         bounds.exposure_share = m.real("exposure", bounds.exposure_share);
-        world.start(m.str("vm", "e1"), m.str("domain", "brest"), bounds);
+        world.start(m.str("vm", "e1"), m.str("domain", "brest"), bounds,
+                    m.str("regions"));
     }
 
     void
@@ -268,6 +270,8 @@
         route.target_us = m.number("target", 1000) * Sl_US_PER_MS;
         route.gap_us = m.number("gap", 2000) * Sl_US_PER_MS;
         route.priority = m.number("priority");
+        route.region_count =
+            read_names(m.str("regions"), route.regions, Sl_MAX_REGIONS);
         route.max_attempts = m.number("attempts", 1);
         route.model_count =
             read_names(m.str("models"), route.models, Sl_MAX_MODELS);
@@ -286,6 +290,8 @@
         struct sl_team team = {};
         team.name = m.word_name(1);
         team.priority = m.number("priority", -1);
+        team.region_count =
+            read_names(m.str("regions"), team.regions, Sl_MAX_REGIONS);
         teams.emplace_back(team, split(m.str("keys")));
     }
 
@@ -567,6 +573,25 @@
         }
     }
 
+    // Series of the metrics that contain one of the words.
+    void
+    on_metrics(const members &m)
+    {
+        struct sl_buf text = {};
+        SlRouter_MetricsText(world.router, &text);
+        std::istringstream in(std::string(text.ptr, text.len));
+        SlBuf_Free(&text);
+        for (std::string series; std::getline(in, series);) {
+            for (size_t i = 1; i < m.words.size(); i++) {
+                if (series[0] != '#' &&
+                    series.find(m.words[i]) != std::string::npos &&
+                    series.find("_bucket{") == std::string::npos) {
+                    line() << series << "\n";
+                }
+            }
+        }
+    }
+
     /* ---- effects ---- */
 
     std::ostream &
--- a/tests/unit/router_world.h
+++ b/tests/unit/router_world.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -142,13 +143,21 @@
 
     void
     start(const std::string &vm, const std::string &domain,
-          const struct sl_bounds &bounds, uint64_t seed = 1)
+          const struct sl_bounds &bounds, const std::string &regions = "",
+          uint64_t seed = 1)
     {
         struct sl_router_options options = {};
         options.vm = SlName_Of(vm.c_str());
         options.domain = SlName_Of(domain.c_str());
         options.peer_address = SlName_Of((vm + ":7340").c_str());
         options.bounds = bounds;
+        std::istringstream list(regions);
+        for (std::string item; std::getline(list, item, ',');) {
+            size_t colon = item.find(':');
+            struct sl_domain &at = options.domains[options.domain_count++];
+            at.name = SlName_Of(item.substr(0, colon).c_str());
+            at.region = SlName_Of(item.substr(colon + 1).c_str());
+        }
         options.boot = 1 + seed;
         options.seed = seed;
         options.now_us = now_us;
