--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,13 @@
 	RC_PARAMS="max_success=$(RUNS) seed=$(SEED)" \
 		$(BUILD)/tests/props/prop_core_fleet
 
+# The fault soak with real processes; SEEDS is how many, from FROM on.
+SEEDS ?= 10
+FROM ?= 1
+SECONDS ?= 20
+soak: build
+	tests/soak/run.sh $(BUILD) $(FROM) $$(($(FROM) + $(SEEDS) - 1)) $(SECONDS)
+
 sanitize:
 	$(MAKE) build BUILD=build-asan CMAKE_FLAGS=-DSL_SANITIZE=ON
 
@@ -52,5 +59,5 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all build packages test props-long sanitize format format-check lint \
+.PHONY: all build packages test props-long soak sanitize format format-check lint \
 	demo bench clean
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -8,8 +8,9 @@
 /* Own load changes are collected for so long before the peers of the failure
  * domain are told; the processor time of a digest bounds it from below. */
 #define Sl_SOON_US (25 * Sl_US_PER_MS)
-/* A silent peer is told only so often. */
-#define Sl_SILENT_BEAT_US (5 * Sl_US_PER_S)
+/* A peer that is silent or has left is told only so often: it may start again
+ * while the store is away, and then knows nobody. */
+#define Sl_SILENT_BEAT_US (2 * Sl_US_PER_S)
 /* Member records are read again this often: routers that started without
  * hearing of each other meet through them. */
 #define Sl_MEMBERS_AGAIN_US (60 * Sl_US_PER_S)
@@ -76,9 +77,6 @@
 is_due(const struct sl_router *router, const struct sl_router_peer *peer,
        bool only_domain)
 {
-    if (peer->digest.leaving && !router->draining) {
-        return false;
-    }
     if (only_domain) {
         return SlPeers_IsLive(router, peer) &&
                SlName_Equal(&peer->digest.domain, &router->options.domain);
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -86,6 +86,14 @@
     return (uint32_t)MIN(age_us / Sl_US_PER_MS, (int64_t)UINT32_MAX - 1);
 }
 
+void
+SlFeeds_AddAge(struct sl_router *router)
+{
+    uint32_t age_ms = SlFeeds_StoreAgeMs(router);
+    SlLine_Int(router, "store_age_ms",
+               age_ms == UINT32_MAX ? -1 : (int64_t)age_ms);
+}
+
 /* Does a peer of the failure domain read the store, with success? */
 static bool
 has_reader(const struct sl_router *router)
@@ -125,7 +133,7 @@
     SlLine_Int(router, "rank",
                (int64_t)SlPeers_DomainRank(router, Sl_STR("readers")));
     SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
-    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlFeeds_AddAge(router);
     SlLine_End(router, Sl_LOG_INFO);
 }
 
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -44,15 +44,21 @@
 log_failure(struct sl_router *router, const struct sl_flight *flight,
             const struct sl_refusal *refusal)
 {
+    const struct sl_exchange *exchange = &flight->exchange;
     SlLine_BeginLast(router, "answered", flight, true);
     add_refusal(router, refusal);
+    if (exchange->token != 0) {
+        SlLine_Name(router, "waits_for", &exchange->upstream->reg.id);
+        SlLine_Int(router, "silent_ms",
+                   (router->now_us - exchange->last_bytes_us) / Sl_US_PER_MS);
+    }
     SlLine_Int(router, "took_ms",
                (router->now_us - flight->arrived_us) / Sl_US_PER_MS);
     SlLine_Int(router, "runs", flight->runs);
     SlLine_Int(router, "tries", flight->tries);
     SlLine_Int(router, "last_event", flight->last_event);
     SlLine_Int(router, "waiting", (int64_t)router->queue->length);
-    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlFeeds_AddAge(router);
     SlLine_End(router, Sl_LOG_INFO);
 }
 
@@ -60,8 +66,8 @@
 SlFlight_Fail(struct sl_router *router, struct sl_flight *flight,
               const struct sl_refusal *refusal)
 {
-    SlCalls_Cancel(router, flight);
     log_failure(router, flight, refusal);
+    SlCalls_Cancel(router, flight);
     if (flight->state == Sl_FLIGHT_PASSING) {
         SlOutbox_Add(router, Sl_RFX_ABORT)->u.conn = flight->conn;
     }
@@ -244,7 +250,7 @@
     SlLine_Int(router, "config",
                router->routing == NULL ? -1
                                        : SlRouting_Version(router->routing));
-    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlFeeds_AddAge(router);
     SlLine_End(router, Sl_LOG_INFO);
     refuse(router, ask->conn, &refusal);
     SlMeasures_OnEnd(router, NULL, "refused", 0);
@@ -310,7 +316,7 @@
     SlLine_Int(router, "config", SlRouting_Version(router->routing));
     SlLine_Int(router, "config_age_ms",
                (router->now_us - router->routing_us) / Sl_US_PER_MS);
-    SlLine_Int(router, "store_age_ms", SlFeeds_StoreAgeMs(router));
+    SlFeeds_AddAge(router);
     SlLine_Int(router, "priority", flight->priority);
     if (flight->team != NULL) {
         SlLine_Name(router, "team", &flight->team->name);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -685,6 +685,8 @@
 /* Reads a feed now, unless it is being read or soon will be. */
 void SlFeeds_Read(struct sl_router *router, enum sl_feed feed);
 /* Time since the store last answered; UINT32_MAX: it never did. */
+/* Adds the age of the store's news to the line in hand; -1: never read. */
+void SlFeeds_AddAge(struct sl_router *router);
 /* Logs when this router begins or ends to read the store for its domain. */
 void SlFeeds_NoteDuty(struct sl_router *router);
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
