Agent: an upstream that breaks off its answers gets its cold limit at once

Cause: the agent lowered its limit step by step, by 0.7 for each broken call, and took the upstream for cold after three in a row or at the next load report, up to half a second later. With two calls running at the restart a limit of 5 became 2.45, grew with the answers of the new process, and a third request was sent to an engine that bears two.

Ruled out: a request on its way during the restart (it is counted as running there), and the engine's count, which is read after the restart.

--- a/lib/core/sl_run.c
+++ b/lib/core/sl_run.c
@@ -549,7 +549,14 @@
     enum sl_errno code = event->err->code;
     bool not_run = !run->head_sent &&
                    (code == Sl_ERR_REFUSED || code == Sl_ERR_UNREACHABLE);
-    SlLimit_OnRefused(&agent->limit);
+    if (code == Sl_ERR_LOST || code == Sl_ERR_UNREACHABLE) {
+        /* The process has probably restarted; the next load report, which
+         * would say so, may be half a second away. */
+        SlLimit_OnCold(&agent->limit);
+    }
+    else {
+        SlLimit_OnRefused(&agent->limit);
+    }
     if (!not_run && !SlName_IsEmpty(&run->run.version)) {
         SlAgent_Counts(agent, &run->run.version)->failed++;
     }
