--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -56,11 +56,37 @@
     exchange->upstream->bytes_us = router->now_us;
 }
 
-/* An answer that took several times as long as guessed counts as bad for its
- * version; short ones vary by more. */
+/* An answer that took several times as long as it should counts as bad for
+ * its version; short ones vary by more. */
 #define Sl_SLOW_FACTOR 3
 #define Sl_SLOW_EXTRA_US (50 * Sl_US_PER_MS)
 
+/* How long until the head, as far as the load of the upstream does not count;
+ * 0: not known. */
+static int64_t
+usual_us(const struct sl_router *router, const struct sl_flight *flight)
+{
+    const struct sl_exchange *exchange = &flight->exchange;
+    if (flight->service->is_engine) {
+        return exchange->was_idle ? exchange->expected_us : 0;
+    }
+    return exchange->was_cold ? 0
+                              : SlPace_AnswerUs(router, &flight->route->name);
+}
+
+/* What answers of a plain service usually take, by those of versions that a
+ * roll-out leaves, while there is one. */
+static void
+learn_usual(struct sl_router *router, const struct sl_flight *flight,
+            int64_t took_us)
+{
+    if (!flight->exchange.was_cold &&
+        (flight->exchange.at_base ||
+         !SlRollouts_IsRunning(router, &flight->service->name))) {
+        SlPace_LearnAnswer(router, &flight->route->name, took_us);
+    }
+}
+
 /* What the answer's head says of models and versions. */
 static void
 learn(struct sl_router *router, const struct sl_flight *flight)
@@ -72,11 +98,13 @@
         return;
     }
     bool failed = exchange->head.status >= 500;
+    int64_t usual = usual_us(router, flight);
     bool slow =
-        flight->service->is_engine &&
-        took_us > Sl_SLOW_FACTOR * exchange->expected_us + Sl_SLOW_EXTRA_US &&
-        exchange->was_idle;
+        usual > 0 && took_us > Sl_SLOW_FACTOR * usual + Sl_SLOW_EXTRA_US;
     SlRollouts_OnAnswer(router, flight, failed || slow);
+    if (!flight->service->is_engine && !failed) {
+        learn_usual(router, flight, took_us);
+    }
     if (flight->service->is_engine && exchange->was_idle && !failed) {
         struct sl_name model = {0};
         (void)SlName_Set(&model, SlFlight_Model(flight));
--- a/lib/router/sl_pace.c
+++ b/lib/router/sl_pace.c
@@ -54,23 +54,49 @@
     }
 }
 
+/* ---- means by name ---- */
+
+static int64_t
+mean_of(GHashTable *means, const struct sl_name *name, int64_t fallback_us)
+{
+    const double *mean_us = g_hash_table_lookup(means, name);
+    return mean_us == NULL ? fallback_us : (int64_t)*mean_us;
+}
+
+static void
+learn_mean(GHashTable *means, const struct sl_name *name, int64_t took_us)
+{
+    double *mean_us = g_hash_table_lookup(means, name);
+    if (mean_us == NULL) {
+        mean_us = g_new0(double, 1);
+        *mean_us = (double)took_us;
+        g_hash_table_insert(means, g_memdup2(name, sizeof(*name)), mean_us);
+    }
+    *mean_us += Sl_PACE_WEIGHT * ((double)took_us - *mean_us);
+}
+
 int64_t
 SlPace_RunUs(const struct sl_router *router, const struct sl_name *service)
 {
-    const double *run_us = g_hash_table_lookup(router->runs, service);
-    return run_us == NULL ? Sl_FIRST_RUN_US : (int64_t)*run_us;
+    return mean_of(router->runs, service, Sl_FIRST_RUN_US);
 }
 
 void
 SlPace_LearnRun(struct sl_router *router, const struct sl_name *service,
                 int64_t took_us)
 {
-    double *run_us = g_hash_table_lookup(router->runs, service);
-    if (run_us == NULL) {
-        run_us = g_new0(double, 1);
-        *run_us = (double)took_us;
-        g_hash_table_insert(router->runs, g_memdup2(service, sizeof(*service)),
-                            run_us);
-    }
-    *run_us += Sl_PACE_WEIGHT * ((double)took_us - *run_us);
+    learn_mean(router->runs, service, took_us);
+}
+
+int64_t
+SlPace_AnswerUs(const struct sl_router *router, const struct sl_name *route)
+{
+    return mean_of(router->answers, route, 0);
+}
+
+void
+SlPace_LearnAnswer(struct sl_router *router, const struct sl_name *route,
+                   int64_t took_us)
+{
+    learn_mean(router->answers, route, took_us);
 }
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -69,6 +69,14 @@
     return rollout->has_status && rollout->state != Sl_ROLLOUT_RUNNING;
 }
 
+bool
+SlRollouts_IsRunning(const struct sl_router *router,
+                     const struct sl_name *service)
+{
+    const struct sl_rollout *rollout = find(router, service);
+    return rollout != NULL && !is_over(rollout);
+}
+
 void
 SlRollouts_Free(gpointer data)
 {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -192,6 +192,7 @@
     int64_t uncached;       /* prompt tokens that had to be read, as guessed */
     bool is_unread;         /* the prompt is not read yet */
     bool was_idle;          /* nothing else was to be read there before it */
+    bool was_cold;          /* when it was sent */
     bool at_base;           /* at a version that a roll-out leaves */
     bool has_head;
     struct sl_answer_head head;
@@ -286,6 +287,7 @@
     size_t lapsing;        /* of them, those with a `lapse_us` */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
     GHashTable *runs;      /* service name -> double, length in us, owned */
+    GHashTable *answers;   /* route name -> double, us to a head, owned */
     GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
     GHashTable *repeats;   /* service name -> struct sl_repeat_window, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
@@ -484,6 +486,12 @@
 /* Length of the service's runs, smoothed. */
 int64_t SlPace_RunUs(const struct sl_router *router,
                      const struct sl_name *service);
+/* Mean time to the head of answers on a route of a plain service; 0: none was
+ * seen. */
+int64_t SlPace_AnswerUs(const struct sl_router *router,
+                        const struct sl_name *route);
+void SlPace_LearnAnswer(struct sl_router *router, const struct sl_name *route,
+                        int64_t took_us);
 void SlPace_LearnRun(struct sl_router *router, const struct sl_name *service,
                      int64_t took_us);
 
@@ -537,6 +545,9 @@
 void SlRollouts_OnAnswer(struct sl_router *router,
                          const struct sl_flight *flight, bool bad);
 void SlRollouts_Free(gpointer rollout);
+/* Is a roll-out of the service under way? */
+bool SlRollouts_IsRunning(const struct sl_router *router,
+                          const struct sl_name *service);
 /* "running", "completed" or "rolled_back". */
 const char *SlRollouts_StateName(enum sl_rollout_state state);
 /* Share of the sessions that the target may have now, 0 to 1. */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -314,7 +314,8 @@
     struct sl_exchange *exchange = &flight->exchange;
     struct sl_name model = {0};
     exchange->was_idle = SlUpstreams_Unread(router, upstream) == 0;
-    if (SlCold_IsCold(router, upstream, flight->service)) {
+    exchange->was_cold = SlCold_IsCold(router, upstream, flight->service);
+    if (exchange->was_cold) {
         upstream->cold_sent_us = router->now_us;
     }
     upstream->in_flight++;
