Roll-outs: failed and slow answers judged apart, by likelihoods, against a base that lasts

Ruled out: cold or overloaded targets (the failures were 500s with the upstream's stamp at a load of 1 to 3); the canary's size.

Now each route counts failed and slow answers apart, the first answer of a request only for failures; a likelihood ratio decides (4 bad at 3 standard deviations, for slow ones 2.5 at 2.6); the newest 100 answers of the base at each router last. sl_tallies.c holds the decision, sl_rollouts.c is shorter by it. Digests carry both signs (version 2), and room is kept by what is there.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -6,16 +6,19 @@
 
 static const char step[] = "gossip.decode";
 
-/* Bytes that everything but loads and sessions may take. */
-#define Sl_FIXED_BYTES 900
-/* Most bytes of one load, and of one session. */
+/* Most bytes of a digest without what it holds many of: names, numbers, the
+ * frames of roll-outs. */
+#define Sl_FIXED_BYTES 300
+/* Most bytes of one fault, tally, load and session. */
+#define Sl_FAULT_BYTES 6
+#define Sl_TALLY_BYTES 30
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
 
 #define Sl_DIGEST_FIELDS 11
 #define Sl_LOAD_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 5
-#define Sl_TALLY_FIELDS 5
+#define Sl_TALLY_FIELDS (1 + 4 * Sl_SIGNS)
 
 /* ---- encode ---- */
 
@@ -26,6 +29,15 @@
     msgpack_pack_str_body(packer, name->text, name->len);
 }
 
+static void
+pack_signs(msgpack_packer *packer, const struct sl_gossip_sign *signs)
+{
+    for (size_t i = 0; i < Sl_SIGNS; i++) {
+        msgpack_pack_uint16(packer, signs[i].answers);
+        msgpack_pack_uint16(packer, signs[i].bad);
+    }
+}
+
 static void
 pack_rollout(msgpack_packer *packer, const struct sl_gossip_rollout *rollout,
              size_t session_count)
@@ -39,10 +51,8 @@
         const struct sl_gossip_tally *tally = &rollout->tallies[i];
         msgpack_pack_array(packer, Sl_TALLY_FIELDS);
         msgpack_pack_uint32(packer, tally->route);
-        msgpack_pack_uint32(packer, tally->target_answers);
-        msgpack_pack_uint32(packer, tally->target_bad);
-        msgpack_pack_uint32(packer, tally->base_answers);
-        msgpack_pack_uint32(packer, tally->base_bad);
+        pack_signs(packer, tally->target);
+        pack_signs(packer, tally->base);
     }
     msgpack_pack_array(packer, session_count);
     for (size_t i = 0; i < session_count; i++) {
@@ -50,10 +60,21 @@
     }
 }
 
+/* What faults and tallies leave for loads and sessions, in bytes. */
+static size_t
+room_of(const struct sl_gossip *digest)
+{
+    size_t taken = Sl_FIXED_BYTES + digest->fault_count * Sl_FAULT_BYTES;
+    for (size_t i = 0; i < digest->rollout_count; i++) {
+        taken += digest->rollouts[i].tally_count * Sl_TALLY_BYTES;
+    }
+    return Sl_GOSSIP_MAX_BYTES - MIN(taken, Sl_GOSSIP_MAX_BYTES);
+}
+
 static void
 pack_digest(msgpack_packer *packer, const struct sl_gossip *digest)
 {
-    size_t room = Sl_GOSSIP_MAX_BYTES - Sl_FIXED_BYTES;
+    size_t room = room_of(digest);
     size_t loads = MIN(digest->load_count, room / Sl_LOAD_BYTES);
     room -= loads * Sl_LOAD_BYTES;
     msgpack_pack_array(packer, Sl_DIGEST_FIELDS);
@@ -183,14 +204,32 @@
     return fields.ok;
 }
 
+static uint16_t
+next_uint16(struct sl_items *items)
+{
+    uint64_t value = next_uint(items);
+    if (value > UINT16_MAX) {
+        items->ok = false;
+        return 0;
+    }
+    return (uint16_t)value;
+}
+
+static void
+next_signs(struct sl_items *items, struct sl_gossip_sign *signs)
+{
+    for (size_t i = 0; i < Sl_SIGNS; i++) {
+        signs[i].answers = next_uint16(items);
+        signs[i].bad = next_uint16(items);
+    }
+}
+
 static bool
 decode_tally(struct sl_items fields, struct sl_gossip_tally *tally)
 {
     tally->route = next_uint32(&fields);
-    tally->target_answers = next_uint32(&fields);
-    tally->target_bad = next_uint32(&fields);
-    tally->base_answers = next_uint32(&fields);
-    tally->base_bad = next_uint32(&fields);
+    next_signs(&fields, tally->target);
+    next_signs(&fields, tally->base);
     return fields.ok;
 }
 
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -17,7 +17,7 @@
 
 #include "sl_common.h"
 
-#define Sl_GOSSIP_VERSION 1
+#define Sl_GOSSIP_VERSION 2
 /* Below the payload of one Ethernet frame, so that none is fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
 
@@ -43,13 +43,24 @@
     bool is_replaced;  /* another one has its address: it is gone for good */
 };
 
-/* Recent answers on one route, which fade with time; in tenths. */
+/* By what an answer shows that its version is bad. */
+enum sl_fault_sign {
+    Sl_SIGN_FAILED,
+    Sl_SIGN_SLOW,
+    Sl_SIGNS,
+};
+
+/* Answers that could show a sign, and those that did; in tenths. */
+struct sl_gossip_sign {
+    uint16_t answers;
+    uint16_t bad;
+};
+
+/* Recent answers on one route, which fade with time. */
 struct sl_gossip_tally {
     uint32_t route; /* hash of its name */
-    uint32_t target_answers;
-    uint32_t target_bad;
-    uint32_t base_answers;
-    uint32_t base_bad;
+    struct sl_gossip_sign target[Sl_SIGNS];
+    struct sl_gossip_sign base[Sl_SIGNS];
 };
 
 /* How the sender sees one roll-out. */
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -32,23 +32,6 @@
     return head->status >= 200 && head->status < 300 && !head->is_stamped;
 }
 
-static void
-log_head(struct sl_router *router, const struct sl_flight *flight)
-{
-    const struct sl_answer_head *head = &flight->exchange.head;
-    SlLine_BeginFor(router, "head", flight);
-    SlLine_Name(router, "upstream", &flight->exchange.upstream->reg.id);
-    SlLine_Int(router, "status", head->status);
-    SlLine_Int(router, "confidence", head->confidence);
-    SlLine_Int(router, "not_executed", head->not_executed);
-    SlLine_Int(router, "stamped", head->is_stamped);
-    SlLine_Int(router, "running", head->has_load ? head->running : -1);
-    SlLine_Int(router, "waiting", head->has_load ? head->waiting : -1);
-    SlLine_Int(router, "after_ms",
-               (router->now_us - flight->exchange.sent_us) / Sl_US_PER_MS);
-    SlLine_End(router, Sl_LOG_INFO);
-}
-
 static void
 note_bytes(struct sl_router *router, struct sl_exchange *exchange)
 {
@@ -74,6 +57,25 @@
                               : SlPace_AnswerUs(router, &flight->route->name);
 }
 
+static void
+log_head(struct sl_router *router, const struct sl_flight *flight)
+{
+    int64_t usual = usual_us(router, flight);
+    const struct sl_answer_head *head = &flight->exchange.head;
+    SlLine_BeginFor(router, "head", flight);
+    SlLine_Name(router, "upstream", &flight->exchange.upstream->reg.id);
+    SlLine_Int(router, "status", head->status);
+    SlLine_Int(router, "confidence", head->confidence);
+    SlLine_Int(router, "not_executed", head->not_executed);
+    SlLine_Int(router, "stamped", head->is_stamped);
+    SlLine_Int(router, "running", head->has_load ? head->running : -1);
+    SlLine_Int(router, "waiting", head->has_load ? head->waiting : -1);
+    SlLine_Int(router, "after_ms",
+               (router->now_us - flight->exchange.sent_us) / Sl_US_PER_MS);
+    SlLine_Int(router, "usual_ms", usual > 0 ? usual / Sl_US_PER_MS : -1);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
 /* What answers of a plain service usually take, by those of versions that a
  * roll-out leaves, while there is one. */
 static void
@@ -89,7 +91,7 @@
 
 /* What the answer's head says of models and versions. */
 static void
-learn(struct sl_router *router, const struct sl_flight *flight)
+learn(struct sl_router *router, struct sl_flight *flight)
 {
     const struct sl_exchange *exchange = &flight->exchange;
     int64_t took_us = router->now_us - exchange->sent_us;
@@ -99,9 +101,12 @@
     }
     bool failed = exchange->head.status >= 500;
     int64_t usual = usual_us(router, flight);
-    bool slow =
-        usual > 0 && took_us > Sl_SLOW_FACTOR * usual + Sl_SLOW_EXTRA_US;
-    SlRollouts_OnAnswer(router, flight, failed || slow);
+    struct sl_answer_signs signs = {
+        .failed = failed,
+        .is_timed = usual > 0 && !failed,
+        .slow = took_us > Sl_SLOW_FACTOR * usual + Sl_SLOW_EXTRA_US,
+    };
+    SlRollouts_OnAnswer(router, flight, &signs);
     if (!flight->service->is_engine && !failed) {
         learn_usual(router, flight, took_us);
     }
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -14,7 +14,6 @@
  */
 #include "sl_router_internal.h"
 
-#include <math.h>
 #include <string.h>
 
 /* Share of the sessions in the first half, of what a bad version may get. */
@@ -33,21 +32,9 @@
 #define Sl_RANK_US (300 * Sl_US_PER_MS)
 /* Pause before a write that failed is repeated. */
 #define Sl_APPEND_RETRY_US (400 * Sl_US_PER_MS)
-/* Half-life of answers as evidence. */
-#define Sl_FADE_US (4 * Sl_US_PER_S)
 /* A peer's evidence is used up to this age. */
 #define Sl_EVIDENCE_AGE_US (3 * Sl_US_PER_S)
-/* Bad answers of the target that are needed to judge it, and by how many
- * standard errors its rate must exceed the others'. A false alarm costs one
- * roll-out; a bad version that stays costs callers. */
-#define Sl_MIN_BAD 2.5
-/* A version that fails this much more often than the others is bad; less is
- * within what slow or restarting upstreams do to a good one. */
-#define Sl_MIN_EXCESS 0.1
-#define Sl_SIGMAS 2.3
-/* Weight of the belief that an unseen version fails this often. */
-#define Sl_PRIOR_ANSWERS 4.0
-#define Sl_PRIOR_BAD 0.1
+/* Pause between two looks at the evidence. */
 #define Sl_CHECK_US (150 * Sl_US_PER_MS)
 /* A router that learns of a roll-out so soon after its start was not there
  * when it began. */
@@ -286,38 +273,9 @@
 
 /* ---- evidence ---- */
 
-static void
-fade(const struct sl_router *router, struct sl_tally_pair *tally)
-{
-    double factor =
-        exp2(-(double)(router->now_us - tally->at_us) / (double)Sl_FADE_US);
-    tally->target_answers *= factor;
-    tally->target_bad *= factor;
-    tally->base_answers *= factor;
-    tally->base_bad *= factor;
-    tally->at_us = router->now_us;
-}
-
-static struct sl_tally_pair *
-tally_of(struct sl_tally_pair *tallies, size_t *count, uint32_t route)
-{
-    for (size_t i = 0; i < *count; i++) {
-        if (tallies[i].route == route) {
-            return &tallies[i];
-        }
-    }
-    if (*count == Sl_MAX_TALLIES) {
-        return &tallies[Sl_MAX_TALLIES - 1]; /* the rest of the routes */
-    }
-    struct sl_tally_pair *tally = &tallies[(*count)++];
-    memset(tally, 0, sizeof(*tally));
-    tally->route = route;
-    return tally;
-}
-
 void
-SlRollouts_OnAnswer(struct sl_router *router, const struct sl_flight *flight,
-                    bool bad)
+SlRollouts_OnAnswer(struct sl_router *router, struct sl_flight *flight,
+                    const struct sl_answer_signs *signs)
 {
     struct sl_rollout *rollout = find(router, &flight->service->name);
     if (rollout == NULL || is_over(rollout)) {
@@ -325,16 +283,17 @@
     }
     uint32_t route =
         (uint32_t)SlHash_Bytes(0, SlName_Str(&flight->route->name));
-    struct sl_tally_pair *tally =
-        tally_of(rollout->tallies, &rollout->tally_count, route);
-    fade(router, tally);
-    if (flight->exchange.at_base) {
-        tally->base_answers += 1;
-        tally->base_bad += bad ? 1 : 0;
+    struct sl_tally *tally =
+        SlTallies_Of(&rollout->tallies, route, router->now_us);
+    bool at_base = flight->exchange.at_base;
+    struct sl_sign_count *counts = at_base ? tally->base : tally->target;
+    /* Some requests fail wherever they are sent, and are sent again. */
+    if (!flight->is_judged) {
+        SlTallies_Count(&counts[Sl_SIGN_FAILED], signs->failed, at_base);
     }
-    else {
-        tally->target_answers += 1;
-        tally->target_bad += bad ? 1 : 0;
+    flight->is_judged = true;
+    if (signs->is_timed) {
+        SlTallies_Count(&counts[Sl_SIGN_SLOW], signs->slow, at_base);
     }
 }
 
@@ -351,80 +310,32 @@
     return NULL;
 }
 
-/* Own and peers' answers by route. */
-static size_t
-sum_tallies(struct sl_router *router, struct sl_rollout *rollout,
-            struct sl_tally_pair *sums)
+static void
+judge(struct sl_router *router, struct sl_rollout *rollout)
 {
-    size_t count = rollout->tally_count;
+    struct sl_tallies all = rollout->tallies;
     GHashTableIter iter;
     gpointer value;
-    for (size_t i = 0; i < count; i++) {
-        fade(router, &rollout->tallies[i]);
-        sums[i] = rollout->tallies[i];
-    }
+    SlTallies_Fade(&all, router->now_us);
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_gossip_rollout *told = told_by(router, value, rollout);
-        for (size_t i = 0; told != NULL && i < told->tally_count; i++) {
-            struct sl_tally_pair *sum =
-                tally_of(sums, &count, told->tallies[i].route);
-            sum->target_answers += told->tallies[i].target_answers / 10.0;
-            sum->target_bad += told->tallies[i].target_bad / 10.0;
-            sum->base_answers += told->tallies[i].base_answers / 10.0;
-            sum->base_bad += told->tallies[i].base_bad / 10.0;
+        if (told != NULL) {
+            SlTallies_Add(&all, told, router->now_us);
         }
     }
-    return count;
-}
-
-/* Does the target fail more often than the others, beyond chance? */
-static bool
-is_worse(const struct sl_tally_pair *tally)
-{
-    if (tally->target_bad < Sl_MIN_BAD) {
-        return false;
-    }
-    double base_n = tally->base_answers + Sl_PRIOR_ANSWERS;
-    double base_bad = tally->base_bad + Sl_PRIOR_ANSWERS * Sl_PRIOR_BAD;
-    double target = tally->target_bad / tally->target_answers;
-    double base = base_bad / base_n;
-    double pooled =
-        (tally->target_bad + base_bad) / (tally->target_answers + base_n);
-    double error =
-        sqrt(pooled * (1 - pooled) * (1 / tally->target_answers + 1 / base_n));
-    return target - base >= MAX(Sl_MIN_EXCESS, Sl_SIGMAS * error);
-}
-
-static void
-judge(struct sl_router *router, struct sl_rollout *rollout)
-{
-    struct sl_tally_pair sums[Sl_MAX_TALLIES + 1];
-    size_t count = sum_tallies(router, rollout, sums);
-    struct sl_tally_pair all = {0};
-    const struct sl_tally_pair *worst = NULL;
-    for (size_t i = 0; i < count; i++) {
-        all.target_answers += sums[i].target_answers;
-        all.target_bad += sums[i].target_bad;
-        all.base_answers += sums[i].base_answers;
-        all.base_bad += sums[i].base_bad;
-        if (is_worse(&sums[i])) {
-            worst = &sums[i];
-        }
-    }
-    if (worst == NULL && is_worse(&all)) {
-        worst = &all;
-    }
-    if (worst == NULL) {
+    struct sl_verdict verdict = SlTallies_Judge(&all);
+    if (!verdict.is_worse) {
         return;
     }
     rollout->suspect = true;
     router->capacity_changed = true;
     log_rollout(router, rollout, "rollout_suspect");
-    SlLine_Int(router, "target_answers", (int64_t)worst->target_answers);
-    SlLine_Int(router, "target_bad", (int64_t)worst->target_bad);
-    SlLine_Int(router, "base_answers", (int64_t)worst->base_answers);
-    SlLine_Int(router, "base_bad", (int64_t)worst->base_bad);
+    SlLine_C(router, "sign", verdict.sign == Sl_SIGN_SLOW ? "slow" : "failed");
+    SlLine_Int(router, "target_answers", (int64_t)verdict.target.answers);
+    SlLine_Int(router, "target_bad", (int64_t)verdict.target.bad);
+    SlLine_Int(router, "base_answers", (int64_t)verdict.base.answers);
+    SlLine_Int(router, "base_bad", (int64_t)verdict.base.bad);
     SlLine_End(router, Sl_LOG_WARN);
 }
 
@@ -743,12 +654,6 @@
     }
 }
 
-static uint32_t
-tenths(double value)
-{
-    return (uint32_t)(value * 10 + 0.5);
-}
-
 void
 SlRollouts_Tell(struct sl_router *router, struct sl_gossip *digest)
 {
@@ -768,17 +673,7 @@
         told->elapsed_ms =
             (uint32_t)(elapsed_us(router, rollout) / Sl_US_PER_MS);
         told->base_in_flight = (uint32_t)rollout->base_in_flight;
-        for (size_t i = 0; i < rollout->tally_count; i++) {
-            struct sl_tally_pair *tally = &rollout->tallies[i];
-            fade(router, tally);
-            told->tallies[told->tally_count++] = (struct sl_gossip_tally){
-                .route = tally->route,
-                .target_answers = tenths(tally->target_answers),
-                .target_bad = tenths(tally->target_bad),
-                .base_answers = tenths(tally->base_answers),
-                .base_bad = tenths(tally->base_bad),
-            };
-        }
+        SlTallies_Tell(&rollout->tallies, told, router->now_us);
         tell_flights(router, rollout, told);
         for (size_t i = 0; i < rollout->told->len &&
                            told->session_count < Sl_GOSSIP_MAX_SESSIONS;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -15,6 +15,7 @@
  * sl_calls.c      sending to upstreams
  * sl_placement.c  which upstream a flight goes to
  * sl_rollouts.c   moving a service's traffic to a version
+ * sl_tallies.c    is a version worse than the others
  * sl_cold.c       how much of a cold upstream's allowance is ours
  * sl_peers.c      the other routers
  * sl_upstreams.c  what is believed of upstreams
@@ -113,18 +114,43 @@
 
 /* ---- roll-outs ---- */
 
-/* Answers on one route, fading with time. */
-struct sl_tally_pair {
+/* Answers that could show a sign of badness, and those that did. */
+struct sl_sign_count {
+    double answers;
+    double bad;
+};
+
+/* Answers on one route. */
+struct sl_tally {
     uint32_t route; /* hash of its name */
-    int64_t at_us;  /* to which the counts have faded */
-    double target_answers;
-    double target_bad;
-    double base_answers;
-    double base_bad;
+    struct sl_sign_count target[Sl_SIGNS];
+    struct sl_sign_count base[Sl_SIGNS];
 };
 
 #define Sl_MAX_TALLIES Sl_GOSSIP_MAX_TALLIES
 
+/* Answers by route, fading with time. */
+struct sl_tallies {
+    int64_t at_us; /* to which the counts have faded */
+    size_t count;
+    struct sl_tally routes[Sl_MAX_TALLIES];
+};
+
+/* What one answer shows. */
+struct sl_answer_signs {
+    bool failed;
+    bool is_timed; /* it is known how long it usually takes */
+    bool slow;
+};
+
+/* Is the target worse, and by which counts? */
+struct sl_verdict {
+    bool is_worse;
+    enum sl_fault_sign sign;
+    struct sl_sign_count target;
+    struct sl_sign_count base;
+};
+
 struct sl_rollout {
     struct sl_rollout_order order;
     uint64_t offset;   /* of the order */
@@ -140,8 +166,7 @@
     uint64_t append_token; /* status being written; 0: none */
     int64_t append_retry_us;
     int64_t base_in_flight; /* own */
-    size_t tally_count;
-    struct sl_tally_pair tallies[Sl_MAX_TALLIES];
+    struct sl_tallies tallies;
     GHashTable *at_base; /* session -> int64_t last time at a base version */
     GArray *told;        /* uint32_t sessions for the next digest */
 };
@@ -224,6 +249,7 @@
     int64_t runs;           /* attempts that ran or may have run */
     int64_t tries;          /* attempts that were sent or tried */
     bool has_arrived;       /* at some upstream: another call is a repeat */
+    bool is_judged;         /* an answer to it counted for a version */
     bool may_repeat;
     int64_t last_event; /* the newest one the caller has; -1: none */
     int64_t passed_us;  /* when that was passed on */
@@ -541,9 +567,9 @@
 void SlRollouts_OnSent(struct sl_router *router, struct sl_flight *flight,
                        const struct sl_upstream *upstream);
 void SlRollouts_OnEnded(struct sl_router *router, struct sl_flight *flight);
-/* An answer of the upstream's own: was it bad? */
-void SlRollouts_OnAnswer(struct sl_router *router,
-                         const struct sl_flight *flight, bool bad);
+/* An answer of the upstream's own. */
+void SlRollouts_OnAnswer(struct sl_router *router, struct sl_flight *flight,
+                         const struct sl_answer_signs *signs);
 void SlRollouts_Free(gpointer rollout);
 /* Is a roll-out of the service under way? */
 bool SlRollouts_IsRunning(const struct sl_router *router,
@@ -554,6 +580,22 @@
 double SlRollouts_Share(const struct sl_router *router,
                         const struct sl_rollout *rollout);
 
+/* ---- evidence of roll-outs ---- */
+
+/* The route's counts, as of now; added when it has none. */
+struct sl_tally *SlTallies_Of(struct sl_tallies *tallies, uint32_t route,
+                              int64_t now_us);
+void SlTallies_Fade(struct sl_tallies *tallies, int64_t now_us);
+/* Counts one answer; those of the versions to be left are bounded in number,
+ * the newest ones count. */
+void SlTallies_Count(struct sl_sign_count *counts, bool bad, bool is_base);
+/* Adds what a peer tells. */
+void SlTallies_Add(struct sl_tallies *tallies,
+                   const struct sl_gossip_rollout *told, int64_t now_us);
+void SlTallies_Tell(struct sl_tallies *tallies, struct sl_gossip_rollout *told,
+                    int64_t now_us);
+struct sl_verdict SlTallies_Judge(const struct sl_tallies *tallies);
+
 /* ---- placement ---- */
 
 /* What a choice of an upstream weighed. Costs are times to the first event
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -25,7 +25,8 @@
     digest->rollouts[0].order = 12;
     digest->rollouts[0].elapsed_ms = 900;
     digest->rollouts[0].tally_count = 1;
-    digest->rollouts[0].tallies[0] = {1, 20, 10, 300, 5};
+    digest->rollouts[0].tallies[0] = {
+        1, {{20, 10}, {7, 0}}, {{300, 5}, {65535, 1}}};
     digest->rollouts[0].session_count = 2;
     digest->rollouts[0].sessions[1] = 42;
     return digest;
@@ -59,7 +60,9 @@
     EXPECT_EQ(back->loads[0].upstream, 0xffffffffu);
     EXPECT_EQ(back->loads[0].backlog_ms, 250u);
     ASSERT_EQ(back->rollout_count, 1u);
-    EXPECT_EQ(back->rollouts[0].tallies[0].base_answers, 300u);
+    EXPECT_EQ(back->rollouts[0].tallies[0].target[Sl_SIGN_FAILED].bad, 10u);
+    EXPECT_EQ(back->rollouts[0].tallies[0].base[Sl_SIGN_FAILED].answers, 300u);
+    EXPECT_EQ(back->rollouts[0].tallies[0].base[Sl_SIGN_SLOW].answers, 65535u);
     EXPECT_EQ(back->rollouts[0].sessions[1], 42u);
 }
 
@@ -68,12 +71,18 @@
     auto digest = sample();
     digest->load_count = Sl_GOSSIP_MAX_LOADS;
     digest->rollout_count = Sl_GOSSIP_MAX_ROLLOUTS;
+    digest->fault_count = Sl_GOSSIP_MAX_FAULTS;
+    memset(digest->faults, 0xff, sizeof(digest->faults));
     for (auto &load : digest->loads) {
         load = {0xffffffff, 0xffffffff, 0xffffffff};
     }
     for (auto &rollout : digest->rollouts) {
         rollout = digest->rollouts[0];
         rollout.order = UINT64_MAX;
+        rollout.tally_count = Sl_GOSSIP_MAX_TALLIES;
+        for (auto &tally : rollout.tallies) {
+            memset(&tally, 0xff, sizeof(tally));
+        }
         rollout.session_count = Sl_GOSSIP_MAX_SESSIONS;
         for (auto &session : rollout.sessions) {
             session = 0xffffffff;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -491,6 +491,12 @@
         world.reduce(event);
     }
 
+    static uint16_t
+    tenths(const members &m, const char *key)
+    {
+        return (uint16_t)(m.number(key) * 10);
+    }
+
     void
     on_digest(const members &m)
     {
@@ -529,10 +535,12 @@
             rollout.base_in_flight = (uint32_t)m.number("base");
             if (m.values.count("bad") != 0) {
                 rollout.tally_count = 1;
-                rollout.tallies[0] = {1, (uint32_t)m.number("answers") * 10,
-                                      (uint32_t)m.number("bad") * 10,
-                                      (uint32_t)m.number("base-answers") * 10,
-                                      (uint32_t)m.number("base-bad") * 10};
+                struct sl_gossip_tally &tally = rollout.tallies[0];
+                tally.route = 1;
+                tally.target[Sl_SIGN_FAILED] = {tenths(m, "answers"),
+                                                tenths(m, "bad")};
+                tally.base[Sl_SIGN_FAILED] = {tenths(m, "base-answers"),
+                                              tenths(m, "base-bad")};
             }
         }
         event.u.gossip = digest.get();
