Cold upstreams: the fleet keeps the rate's bound at any size

Cause: a pause that does not divide a second lets some seconds hold one request more of each router. Found by computing the sum for fleets of 1 to 1,600 routers and rates of 0.5 to 400: 8 of 98 pairs were above the deployment's bound (1.5 times the rate and 5), e.g. 19 routers at 20 a second 38 of 35, 64 routers at 45.5 a second 90 of 73. Now the pause is lengthened where one request more of each router, and of one that is not known, would be too much.

--- a/lib/router/sl_cold.c
+++ b/lib/router/sl_cold.c
@@ -7,18 +7,23 @@
  * The allowance is split evenly among the routers that are believed to live.
  * Where that gives less than one request a second to each, only as many
  * routers as there are requests a second take part, chosen by hash of the
- * upstream; so no second holds one request of each of a large fleet. When the
- * belief is wrong by half, the sum is twice the rate for as long as that
- * lasts; the deployment's bounds leave that room.
+ * upstream; so no second holds one request of each of a large fleet. A pause
+ * that does not divide a second lets some seconds hold one request more of
+ * each router; where that, and one router that is not known, would be too much
+ * for the deployment's bound, the pause is lengthened until it does. When the
+ * belief is wrong by half, the sum is twice the bound for as long as that
+ * lasts.
  */
 #include "sl_router_internal.h"
 
 #include <math.h>
 
 int64_t
-SlCold_GapUs(double per_s, size_t fleet, size_t rank)
+SlCold_GapUs(const struct sl_bounds *bounds, double per_s, size_t fleet,
+             size_t rank)
 {
     assert(per_s > 0 && fleet > 0);
+    double most = bounds->cold_overshoot * per_s + bounds->cold_extra;
     size_t sharers = (size_t)MAX(floor(per_s), 1);
     if (fleet <= sharers) {
         sharers = fleet;
@@ -26,7 +31,11 @@
     else if (rank >= sharers) {
         return Sl_NEVER_US;
     }
-    return (int64_t)((double)sharers / per_s * (double)Sl_US_PER_S);
+    double each = per_s / (double)sharers;
+    if (each > 1 && (double)(sharers + 1) * ceil(each) > most) {
+        each = floor(each);
+    }
+    return (int64_t)ceil((double)Sl_US_PER_S / each);
 }
 
 bool
@@ -46,7 +55,8 @@
         return router->now_us;
     }
     int64_t gap =
-        SlCold_GapUs(service->cold_per_s, SlPeers_FleetSize(router),
+        SlCold_GapUs(&router->options.bounds, service->cold_per_s,
+                     SlPeers_FleetSize(router),
                      SlPeers_Rank(router, SlName_Str(&upstream->reg.id)));
     if (gap == Sl_NEVER_US) {
         return upstream->cold_until_us;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -493,7 +493,8 @@
 
 /* Pause between the requests of one router to a cold upstream that bears
  * `per_s` in all; Sl_NEVER_US when this router takes no part. */
-int64_t SlCold_GapUs(double per_s, size_t fleet, size_t rank);
+int64_t SlCold_GapUs(const struct sl_bounds *bounds, double per_s,
+                     size_t fleet, size_t rank);
 bool SlCold_IsCold(const struct sl_router *router,
                    const struct sl_upstream *upstream,
                    const struct sl_route_service *service);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -94,6 +94,19 @@
     {
         deployment.clock.after(ms, std::move(work));
     }
+    // Each event draws from numbers of its own, so that a seed plans the same
+    // faults whatever the timing of the requests between them.
+    enum class Draws : uint64_t {
+        fault,
+        request,
+        rollout
+    };
+    void
+    draw(Draws draws, uint64_t number)
+    {
+        uint64_t event = number * 4 + (uint64_t)draws;
+        random = {SlHash_Mix(options.seed ^ SlHash_Mix(event + 1))};
+    }
     size_t
     below(size_t bound)
     {
@@ -179,6 +192,7 @@
     }
     static const char *const paths[] = {"/s/x", "/c/x", "/v/x", "/w/x"};
     Ask question;
+    draw(Draws::request, last_request);
     size_t kind = below(4);
     question.id = "r" + std::to_string(++last_request);
     question.path = paths[kind];
@@ -332,7 +346,7 @@
     if (ending) {
         return;
     }
-    faults++;
+    draw(Draws::fault, ++faults);
     // The store fails more seldom: much is only checked while it is there.
     size_t kind = below(13);
     if (kind < 3) {
@@ -508,6 +522,7 @@
 void
 Soak::start_rollout()
 {
+    draw(Draws::rollout, 0);
     target_is_bad = below(2) == 0;
     plain_runs = deployment.runs.count();
     for (size_t i = options.runners; i < deployment.slots.size(); i++) {
@@ -634,6 +649,7 @@
     poll_states();
     beat();
     plan(500, [this] { next_fault(); });
+    draw(Draws::rollout, 1);
     plan(2000 + (int64_t)below(3000), [this] { start_rollout(); });
     deployment.run_for(options.seconds * 1000);
     ending = true;
