A call that timed out while connecting has sent nothing

Cause: a bufferevent writes its output as soon as the connection is there and tells of that after the loop's other events. When a busy process finds the connection made and its time-out passed in one turn, the time-out came first: the call was called unsent ("connecting timed out"), which is proof of not-run for the reducer, although the request was on its way. Ruled out: the reducer (it repeats only on that proof), 421s (they ran nothing), the watch on silent calls (not for requests that may run once).

Now the request waits in a buffer of the link until the connection is known to be there.

Digests to the failure domain are bounded: with more than 10 peers there they go out less often in proportion.

--- a/lib/net/sl_client.c
+++ b/lib/net/sl_client.c
@@ -16,6 +16,10 @@
     struct sl_client *client;
     struct sl_name address;
     struct bufferevent *bev;
+    /* The request until the connection is known to be there. A bufferevent
+     * writes before it tells of that, and a time-out in between would call a
+     * request unsent that was sent. */
+    struct evbuffer *unsent;
     struct sl_reader reader;
     struct event *timer;         /* of the call, or of the idle time */
     struct sl_client_call *call; /* NULL while idle */
@@ -57,6 +61,7 @@
     if (link->bev != NULL) {
         bufferevent_free(link->bev);
     }
+    evbuffer_free(link->unsent);
     event_free(link->timer);
     SlReader_Clear(&link->reader);
     g_free(link);
@@ -327,6 +332,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         link->connected = true;
         SlSocket_SetOptions(bufferevent_getfd(link->bev));
+        bufferevent_write_buffer(link->bev, link->unsent);
         set_timer(link, link->call->silence_timeout_us);
         return;
     }
@@ -391,6 +397,7 @@
     SlReader_Init(&link->reader, HTTP_RESPONSE, Sl_ANSWER_HEAD_MAX_BYTES,
                   &handlers);
     link->timer = event_new(client->options.base, -1, 0, on_timer, link);
+    link->unsent = evbuffer_new();
     evutil_socket_t fd = socket(AF_INET, SOCK_STREAM, 0);
     if (fd >= 0) {
         evutil_make_socket_nonblocking(fd);
@@ -424,7 +431,8 @@
 write_request(struct sl_link *link,
               const struct sl_client_call_options *options)
 {
-    struct evbuffer *out = bufferevent_get_output(link->bev);
+    struct evbuffer *out =
+        link->connected ? bufferevent_get_output(link->bev) : link->unsent;
     evbuffer_add(out, options->head.ptr, options->head.len);
     evbuffer_add(out, "\r\n", 2);
     evbuffer_add(out, options->body.ptr, options->body.len);
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -8,6 +8,9 @@
 /* Own load changes are collected for so long before the peers of the failure
  * domain are told; the processor time of a digest bounds it from below. */
 #define Sl_SOON_US (25 * Sl_US_PER_MS)
+/* More peers than this in the failure domain are told less often in
+ * proportion, so that a router's digests stay bounded. */
+#define Sl_SOON_PEERS 10
 /* A peer that is silent or has left is told only so often: it may start again
  * while the store is away, and then knows nobody. */
 #define Sl_SILENT_BEAT_US (2 * Sl_US_PER_S)
@@ -105,6 +108,9 @@
             peer->sent_us = router->now_us;
         }
     }
+    if (only_domain) {
+        router->domain_peers = count;
+    }
     if (count == 0) {
         return;
     }
@@ -143,8 +149,11 @@
 SlDigests_Soon(struct sl_router *router)
 {
     if (router->gossip_timer == 0) {
+        int64_t peers = (int64_t)MAX(router->domain_peers, Sl_SOON_PEERS);
         router->gossip_timer = SlTimers_Subscribe(
-            router->timers, router->now_us + Sl_SOON_US, on_soon, router, 0);
+            router->timers,
+            router->now_us + Sl_SOON_US * peers / Sl_SOON_PEERS, on_soon,
+            router, 0);
     }
 }
 
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -325,6 +325,7 @@
     GHashTable *statuses;  /* service name -> struct sl_rollout_status */
     bool loads_changed;    /* peers of the failure domain are told soon */
     uint64_t gossip_timer; /* to peers of the own failure domain, soon */
+    size_t domain_peers;   /* that the last digest to the domain went to */
     uint64_t digest_sequence;
     GHashTable *flights;  /* conn -> struct sl_flight, owned */
     GHashTable *by_token; /* call token -> struct sl_flight */
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -344,6 +344,8 @@
         self->end = *end;
     }
 
+    int64_t connect_timeout_us = 2 * Sl_US_PER_S;
+
     uint64_t
     call(result *out, bool fresh = false, const char *body = "")
     {
@@ -354,7 +356,7 @@
         options.head = Sl_STR("GET / HTTP/1.1\r\n");
         options.body = SlStr_FromC(body);
         options.fresh_connection = fresh;
-        options.connect_timeout_us = 2 * Sl_US_PER_S;
+        options.connect_timeout_us = connect_timeout_us;
         options.echo_header = "X-Id";
         options.echo_value = Sl_STR("mine");
         options.handlers = {on_head, on_piece, on_done, out};
@@ -525,6 +527,27 @@
     EXPECT_EQ(one.code, Sl_ERR_UNREACHABLE);
 }
 
+// The process was busy: the connection is there and its time-out has passed
+// when it looks. (Found by the sweep of koudebaai-route-grown at 300 routers:
+// a request that may run once ran twice.)
+TEST_F(Client, AConnectionThatTimedOutSentNothing)
+{
+    result one;
+    connect_timeout_us = 1;
+    call(&one);
+    usleep(20000); // libevent's clock may be as coarse as 4 ms
+    event_base_loop(base, EVLOOP_ONCE);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    int fd = accept(listener, nullptr, nullptr);
+    ASSERT_GE(fd, 0);
+    accepted.push_back(fd);
+    ASSERT_TRUE(one.done);
+    EXPECT_EQ(one.code, Sl_ERR_UNREACHABLE);
+    EXPECT_FALSE(one.end.connected);
+    char byte;
+    EXPECT_LE(recv(fd, &byte, 1, MSG_DONTWAIT), 0) << "the request was sent";
+}
+
 TEST_F(Client, ACancelledCallSaysNothing)
 {
     result one;
