--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -8,8 +8,9 @@
 /* Own load changes are collected for so long before the peers of the failure
  * domain are told; the processor time of a digest bounds it from below. */
 #define Sl_SOON_US (25 * Sl_US_PER_MS)
-/* More peers than this in the failure domain are told less often in
- * proportion, so that a router's digests stay bounded. */
+/* More peers than this in the failure domain are told of loads less often in
+ * proportion, so that a router's digests stay bounded. News of the store are
+ * rare, and told as soon as ever. */
 #define Sl_SOON_PEERS 10
 /* A peer that is silent or has left is told only so often: it may start again
  * while the store is away, and then knows nobody. */
@@ -142,19 +143,26 @@
     (void)id;
     (void)now_us;
     router->gossip_timer = 0;
+    router->has_news = false;
     tell_peers(router, true);
 }
 
 void
 SlDigests_Soon(struct sl_router *router)
 {
-    if (router->gossip_timer == 0) {
-        int64_t peers = (int64_t)MAX(router->domain_peers, Sl_SOON_PEERS);
-        router->gossip_timer = SlTimers_Subscribe(
-            router->timers,
-            router->now_us + Sl_SOON_US * peers / Sl_SOON_PEERS, on_soon,
-            router, 0);
+    int64_t peers = (int64_t)MAX(router->domain_peers, Sl_SOON_PEERS);
+    int64_t pause_us =
+        router->has_news ? Sl_SOON_US : Sl_SOON_US * peers / Sl_SOON_PEERS;
+    int64_t due_us = router->now_us + pause_us;
+    if (router->gossip_timer != 0 && router->gossip_due_us <= due_us) {
+        return;
+    }
+    if (router->gossip_timer != 0) {
+        SlTimers_Cancel(router->timers, router->gossip_timer);
     }
+    router->gossip_due_us = due_us;
+    router->gossip_timer =
+        SlTimers_Subscribe(router->timers, due_us, on_soon, router, 0);
 }
 
 void
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -362,7 +362,7 @@
     }
     if (event->u.feed.end > state->next) {
         /* Peers of the failure domain may wait for it. */
-        router->loads_changed = true;
+        router->has_news = true;
     }
     state->synced = true;
     state->behind_us = 0;
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -252,7 +252,7 @@
         SlWaiting_Run(router);
     }
     SlAnswers_Watch(router);
-    if (router->loads_changed) {
+    if (router->loads_changed || router->has_news) {
         router->loads_changed = false;
         SlDigests_Soon(router);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -324,8 +324,10 @@
     uint64_t rollout_timer;
     GHashTable *statuses;  /* service name -> struct sl_rollout_status */
     bool loads_changed;    /* peers of the failure domain are told soon */
+    bool has_news;         /* of the store, that they were not told yet */
     uint64_t gossip_timer; /* to peers of the own failure domain, soon */
-    size_t domain_peers;   /* that the last digest to the domain went to */
+    int64_t gossip_due_us;
+    size_t domain_peers; /* that the last digest to the domain went to */
     uint64_t digest_sequence;
     GHashTable *flights;  /* conn -> struct sl_flight, owned */
     GHashTable *by_token; /* call token -> struct sl_flight */
