--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -283,7 +283,7 @@
     }
     uint32_t route =
         (uint32_t)SlHash_Bytes(0, SlName_Str(&flight->route->name));
-    struct sl_tally *tally =
+    struct sl_route_tally *tally =
         SlTallies_Of(&rollout->tallies, route, router->now_us);
     bool at_base = flight->exchange.at_base;
     struct sl_sign_count *counts = at_base ? tally->base : tally->target;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -121,7 +121,7 @@
 };
 
 /* Answers on one route. */
-struct sl_tally {
+struct sl_route_tally {
     uint32_t route; /* hash of its name */
     struct sl_sign_count target[Sl_SIGNS];
     struct sl_sign_count base[Sl_SIGNS];
@@ -133,7 +133,7 @@
 struct sl_tallies {
     int64_t at_us; /* to which the counts have faded */
     size_t count;
-    struct sl_tally routes[Sl_MAX_TALLIES];
+    struct sl_route_tally routes[Sl_MAX_TALLIES];
 };
 
 /* What one answer shows. */
@@ -587,8 +587,8 @@
 /* ---- evidence of roll-outs ---- */
 
 /* The route's counts, as of now; added when it has none. */
-struct sl_tally *SlTallies_Of(struct sl_tallies *tallies, uint32_t route,
-                              int64_t now_us);
+struct sl_route_tally *SlTallies_Of(struct sl_tallies *tallies, uint32_t route,
+                                    int64_t now_us);
 void SlTallies_Fade(struct sl_tallies *tallies, int64_t now_us);
 /* Counts one answer; those of the versions to be left are bounded in number,
  * the newest ones count. */
--- a/lib/router/sl_tallies.c
+++ b/lib/router/sl_tallies.c
@@ -70,7 +70,7 @@
     tallies->at_us = now_us;
 }
 
-struct sl_tally *
+struct sl_route_tally *
 SlTallies_Of(struct sl_tallies *tallies, uint32_t route, int64_t now_us)
 {
     SlTallies_Fade(tallies, now_us);
@@ -82,7 +82,7 @@
     if (tallies->count == Sl_MAX_TALLIES) {
         return &tallies->routes[Sl_MAX_TALLIES - 1]; /* the other routes */
     }
-    struct sl_tally *tally = &tallies->routes[tallies->count++];
+    struct sl_route_tally *tally = &tallies->routes[tallies->count++];
     memset(tally, 0, sizeof(*tally));
     tally->route = route;
     return tally;
@@ -104,7 +104,7 @@
               int64_t now_us)
 {
     for (size_t i = 0; i < told->tally_count; i++) {
-        struct sl_tally *tally =
+        struct sl_route_tally *tally =
             SlTallies_Of(tallies, told->tallies[i].route, now_us);
         add_told(tally->target, told->tallies[i].target);
         add_told(tally->base, told->tallies[i].base);
@@ -152,7 +152,7 @@
  * ratio of likelihoods holds for a handful of answers too, where standard
  * errors say little. */
 static bool
-is_worse(const struct sl_tally *tally, enum sl_fault_sign sign)
+is_worse(const struct sl_route_tally *tally, enum sl_fault_sign sign)
 {
     const struct sl_sign_count *target = &tally->target[sign];
     const struct sl_sign_count *base = &tally->base[sign];
@@ -173,7 +173,7 @@
 }
 
 static bool
-judge_tally(const struct sl_tally *tally, struct sl_verdict *verdict)
+judge_tally(const struct sl_route_tally *tally, struct sl_verdict *verdict)
 {
     for (size_t i = 0; i < Sl_SIGNS; i++) {
         if (is_worse(tally, (enum sl_fault_sign)i)) {
@@ -200,7 +200,7 @@
 SlTallies_Judge(const struct sl_tallies *tallies)
 {
     struct sl_verdict verdict = {.is_worse = false};
-    struct sl_tally all = {0};
+    struct sl_route_tally all = {0};
     for (size_t i = 0; i < tallies->count; i++) {
         if (judge_tally(&tallies->routes[i], &verdict)) {
             return verdict;
