--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -72,7 +72,9 @@
     digest->load_count = Sl_GOSSIP_MAX_LOADS;
     digest->rollout_count = Sl_GOSSIP_MAX_ROLLOUTS;
     digest->fault_count = Sl_GOSSIP_MAX_FAULTS;
-    memset(digest->faults, 0xff, sizeof(digest->faults));
+    for (auto &fault : digest->faults) {
+        fault = {0xffffffff, true};
+    }
     for (auto &load : digest->loads) {
         load = {0xffffffff, 0xffffffff, 0xffffffff};
     }
