What nobody calls goes; the usual time of an answer is worked out once

Nobody called SlClient_Forget(), SlServer_Active() (with a count kept at each change of a connection's state for it alone) and SlRouting_Route(). The usual time of an answer was looked up for its log line and again for the evidence. Two comments still said that the base's answers fade. Behaviour is the same.

--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -56,7 +56,7 @@
     uint16_t bad;
 };
 
-/* Recent answers on one route, which fade with time. */
+/* Recent answers on one route. */
 struct sl_gossip_tally {
     uint32_t route; /* hash of its name */
     struct sl_gossip_sign target[Sl_SIGNS];
--- a/lib/net/sl_client.c
+++ b/lib/net/sl_client.c
@@ -487,20 +487,6 @@
     }
 }
 
-void
-SlClient_Forget(struct sl_client *client, struct sl_str address)
-{
-    char *text = g_strndup(address.ptr, address.len);
-    GQueue *queue = g_hash_table_lookup(client->idle, text);
-    while (queue != NULL) {
-        struct sl_link *link = g_queue_peek_head(queue);
-        remove_idle(link);
-        kill_link(link);
-        queue = g_hash_table_lookup(client->idle, text);
-    }
-    g_free(text);
-}
-
 /* ---- public ---- */
 
 static void
--- a/lib/net/sl_net.h
+++ b/lib/net/sl_net.h
@@ -111,8 +111,7 @@
 void SlServer_StopAccepting(struct sl_server *server);
 /* Closes connections on which no request has begun. */
 void SlServer_CloseIdle(struct sl_server *server);
-/* Connections that wait for an answer; those that are open in all. */
-size_t SlServer_Active(const struct sl_server *server);
+/* Connections that are open. */
 size_t SlServer_Open(const struct sl_server *server);
 
 /* ---- 3. Client -------------------------------------------------------- */
@@ -167,7 +166,5 @@
                        const struct sl_client_call_options *options);
 /* Closes the call's connection; none of its handlers runs any more. */
 void SlClient_Cancel(struct sl_client *client, uint64_t call);
-/* Closes idle connections to `address`. */
-void SlClient_Forget(struct sl_client *client, struct sl_str address);
 
 #endif
--- a/lib/net/sl_server.c
+++ b/lib/net/sl_server.c
@@ -47,7 +47,6 @@
     struct event *sweep;
     GHashTable *conns; /* id -> struct sl_conn, owned */
     uint64_t last_id;
-    size_t active;
     bool draining;
 };
 
@@ -78,12 +77,6 @@
 static void
 set_state(struct sl_conn *conn, enum sl_conn_state state)
 {
-    if (conn->state == Sl_CONN_ANSWERING && state != Sl_CONN_ANSWERING) {
-        conn->server->active--;
-    }
-    if (conn->state != Sl_CONN_ANSWERING && state == Sl_CONN_ANSWERING) {
-        conn->server->active++;
-    }
     conn->state = state;
     conn->since_us = now_us();
 }
@@ -581,12 +574,6 @@
     g_ptr_array_free(idle, TRUE);
 }
 
-size_t
-SlServer_Active(const struct sl_server *server)
-{
-    return server->active;
-}
-
 size_t
 SlServer_Open(const struct sl_server *server)
 {
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -47,7 +47,7 @@
 /* How long until the head, as far as the load of the upstream does not count;
  * 0: not known. */
 static int64_t
-usual_us(const struct sl_router *router, const struct sl_flight *flight)
+usual_time(const struct sl_router *router, const struct sl_flight *flight)
 {
     const struct sl_exchange *exchange = &flight->exchange;
     if (flight->service->is_engine) {
@@ -58,9 +58,9 @@
 }
 
 static void
-log_head(struct sl_router *router, const struct sl_flight *flight)
+log_head(struct sl_router *router, const struct sl_flight *flight,
+         int64_t usual_us)
 {
-    int64_t usual = usual_us(router, flight);
     const struct sl_answer_head *head = &flight->exchange.head;
     SlLine_BeginFor(router, "head", flight);
     SlLine_Name(router, "upstream", &flight->exchange.upstream->reg.id);
@@ -72,7 +72,8 @@
     SlLine_Int(router, "waiting", head->has_load ? head->waiting : -1);
     SlLine_Int(router, "after_ms",
                (router->now_us - flight->exchange.sent_us) / Sl_US_PER_MS);
-    SlLine_Int(router, "usual_ms", usual > 0 ? usual / Sl_US_PER_MS : -1);
+    SlLine_Int(router, "usual_ms",
+               usual_us > 0 ? usual_us / Sl_US_PER_MS : -1);
     SlLine_End(router, Sl_LOG_INFO);
 }
 
@@ -91,7 +92,7 @@
 
 /* What the answer's head says of models and versions. */
 static void
-learn(struct sl_router *router, struct sl_flight *flight)
+learn(struct sl_router *router, struct sl_flight *flight, int64_t usual_us)
 {
     const struct sl_exchange *exchange = &flight->exchange;
     int64_t took_us = router->now_us - exchange->sent_us;
@@ -100,11 +101,10 @@
         return;
     }
     bool failed = exchange->head.status >= 500;
-    int64_t usual = usual_us(router, flight);
     struct sl_answer_signs signs = {
         .failed = failed,
-        .is_timed = usual > 0 && !failed,
-        .slow = took_us > Sl_SLOW_FACTOR * usual + Sl_SLOW_EXTRA_US,
+        .is_timed = usual_us > 0 && !failed,
+        .slow = took_us > Sl_SLOW_FACTOR * usual_us + Sl_SLOW_EXTRA_US,
     };
     SlRollouts_OnAnswer(router, flight, &signs);
     if (!flight->service->is_engine && !failed) {
@@ -167,8 +167,9 @@
     exchange->head.headers = SlBuf_Str(&exchange->headers);
     SlUpstreams_OnLoad(router, exchange->upstream, head);
     SlUpstreams_OnRead(router, exchange->upstream, exchange);
-    log_head(router, flight);
-    learn(router, flight);
+    int64_t usual_us = usual_time(router, flight);
+    log_head(router, flight, usual_us);
+    learn(router, flight, usual_us);
     SlModels_Learn(router, flight, head->confidence);
     if (wants_larger_model(router, flight)) {
         ask_larger_model(router, flight);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -129,9 +129,9 @@
 
 #define Sl_MAX_TALLIES Sl_GOSSIP_MAX_TALLIES
 
-/* Answers by route, fading with time. */
+/* Answers by route; those of the target fade with time. */
 struct sl_tallies {
-    int64_t at_us; /* to which the counts have faded */
+    int64_t at_us; /* to which the target's counts have faded */
     size_t count;
     struct sl_route_tally routes[Sl_MAX_TALLIES];
 };
--- a/lib/routing/sl_routing.c
+++ b/lib/routing/sl_routing.c
@@ -248,12 +248,6 @@
     return routing->services->pdata[index];
 }
 
-const struct sl_route *
-SlRouting_Route(const struct sl_routing *routing, size_t index)
-{
-    return routing->routes->pdata[index];
-}
-
 const struct sl_name *
 SlRoute_Target(const struct sl_route *route, uint64_t hash)
 {
--- a/lib/routing/sl_routing.h
+++ b/lib/routing/sl_routing.h
@@ -139,8 +139,6 @@
 size_t SlRouting_ServiceCount(const struct sl_routing *routing);
 const struct sl_route_service *
 SlRouting_Service(const struct sl_routing *routing, size_t index);
-const struct sl_route *SlRouting_Route(const struct sl_routing *routing,
-                                       size_t index);
 /* The service to which a request goes: by weight, the same for the same
  * `hash` on every process. */
 const struct sl_name *SlRoute_Target(const struct sl_route *route,
