Roll-outs: a target gets no more than its bound, found bad or not; verdicts are told

Cause: the ramp began at half of the order's time whatever the answers said, so a version that fails only under load had half of all requests (bound 15%).

Change: the ramp begins when what the bound leaves covers all requests until the time is over (lib/router/sl_exposure.c); routers count and tell their calls; verdicts are told in digests; an order is completed only on recent answers, or by a fleet that has followed it for ten seconds. The status has a file of its own.

The order is now answered in the last second of its time; a store away just then costs a duty.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -8,7 +8,7 @@
 
 /* Most bytes of a digest without what it holds many of: names, numbers, the
  * frames of roll-outs. */
-#define Sl_FIXED_BYTES 300
+#define Sl_FIXED_BYTES 360
 /* Most bytes of one fault, tally, load and session. */
 #define Sl_FAULT_BYTES 6
 #define Sl_TALLY_BYTES 30
@@ -17,7 +17,7 @@
 
 #define Sl_DIGEST_FIELDS 11
 #define Sl_LOAD_FIELDS 3
-#define Sl_ROLLOUT_FIELDS 5
+#define Sl_ROLLOUT_FIELDS 9
 #define Sl_TALLY_FIELDS (1 + 4 * Sl_SIGNS)
 
 /* ---- encode ---- */
@@ -46,6 +46,10 @@
     msgpack_pack_uint64(packer, rollout->order);
     msgpack_pack_uint32(packer, rollout->elapsed_ms);
     msgpack_pack_uint32(packer, rollout->base_in_flight);
+    msgpack_pack_uint32(packer, rollout->calls.all);
+    msgpack_pack_uint32(packer, rollout->calls.target);
+    msgpack_pack_uint32(packer, rollout->counted_ms);
+    msgpack_pack_uint8(packer, rollout->is_suspect ? 1 : 0);
     msgpack_pack_array(packer, rollout->tally_count);
     for (size_t i = 0; i < rollout->tally_count; i++) {
         const struct sl_gossip_tally *tally = &rollout->tallies[i];
@@ -239,6 +243,10 @@
     rollout->order = next_uint(&fields);
     rollout->elapsed_ms = next_uint32(&fields);
     rollout->base_in_flight = next_uint32(&fields);
+    rollout->calls.all = next_uint32(&fields);
+    rollout->calls.target = next_uint32(&fields);
+    rollout->counted_ms = next_uint32(&fields);
+    rollout->is_suspect = next_uint(&fields) != 0;
     struct sl_items tallies = next_array(&fields, Sl_GOSSIP_MAX_TALLIES);
     while (tallies.ok && tallies.left > 0) {
         if (!decode_tally(next_array(&tallies, Sl_TALLY_FIELDS),
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -17,7 +17,7 @@
 
 #include "sl_common.h"
 
-#define Sl_GOSSIP_VERSION 2
+#define Sl_GOSSIP_VERSION 3
 /* Below the payload of one Ethernet frame, so that none is fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
 
@@ -63,11 +63,20 @@
     struct sl_gossip_sign base[Sl_SIGNS];
 };
 
+/* Calls to the service of a roll-out since its order was seen. */
+struct sl_gossip_calls {
+    uint32_t all;
+    uint32_t target; /* of them, to the version that it brings in */
+};
+
 /* How the sender sees one roll-out. */
 struct sl_gossip_rollout {
-    uint64_t order;          /* offset of the order */
-    uint32_t elapsed_ms;     /* since it was first seen by anybody */
-    uint32_t base_in_flight; /* own requests at versions to be left */
+    uint64_t order;               /* offset of the order */
+    uint32_t elapsed_ms;          /* since it was first seen by anybody */
+    uint32_t base_in_flight;      /* own requests at versions to be left */
+    struct sl_gossip_calls calls; /* own */
+    uint32_t counted_ms;          /* for how long they have been counted */
+    bool is_suspect;              /* the sender has found the target bad */
     size_t tally_count;
     struct sl_gossip_tally tallies[Sl_GOSSIP_MAX_TALLIES];
     /* Sessions that were at a version to be left since the last digest. */
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -182,7 +182,7 @@
         SlUpstreams_OnToldFault(router, &digest->vm, &digest->faults[i]);
     }
     for (size_t i = 0; i < digest->rollout_count; i++) {
-        SlRollouts_OnGossip(router, &digest->rollouts[i]);
+        SlRollouts_OnGossip(router, &digest->vm, &digest->rollouts[i]);
     }
 }
 
--- /dev/null
+++ b/lib/router/sl_rollout_status.c
@@ -0,0 +1,101 @@
+/*
+ * The answer to a roll-out's order: one record in the store, which all routers
+ * and the operator read. Each router wants the state that its evidence gives;
+ * they write by rank, and only if nobody has written since the topic was last
+ * read, so whoever is first decides for all.
+ */
+#include "sl_router_internal.h"
+
+/* Pause between the routers that may write the status, by rank. */
+#define Sl_RANK_US (300 * Sl_US_PER_MS)
+/* Pause before a write that failed is repeated. */
+#define Sl_APPEND_RETRY_US (400 * Sl_US_PER_MS)
+
+static struct sl_rollout_status
+status_of(const struct sl_router *router, const struct sl_rollout *rollout,
+          enum sl_rollout_state state)
+{
+    return (struct sl_rollout_status){
+        .service = rollout->order.service,
+        .version = rollout->order.version,
+        .state = state,
+        .order = rollout->offset,
+        .ramped = rollout->ramped_us != 0,
+        .began_ms = router->wall_ms -
+                    SlRollouts_ElapsedUs(router, rollout) / Sl_US_PER_MS,
+    };
+}
+
+/* Does the store hold it? */
+static bool
+stands(const struct sl_rollout *rollout,
+       const struct sl_rollout_status *status)
+{
+    return rollout->has_status && status->state == rollout->state &&
+           status->ramped == rollout->status_ramped;
+}
+
+static void
+write_status(struct sl_router *router, struct sl_rollout *rollout,
+             const struct sl_rollout_status *status)
+{
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_APPEND);
+    rollout->append_token = ++router->last_token;
+    effect->u.append.feed = Sl_FEED_STATUS;
+    effect->u.append.token = rollout->append_token;
+    effect->u.append.conditional = true;
+    effect->u.append.at = router->feeds[Sl_FEED_STATUS].next;
+    effect->u.append.record.type = Sl_RECORD_STATUS;
+    effect->u.append.record.u.status = *status;
+    SlRollouts_Log(router, rollout, "rollout_write");
+    SlLine_C(router, "state", SlRollouts_StateName(status->state));
+    SlLine_Int(router, "at", (int64_t)effect->u.append.at);
+    SlLine_End(router, Sl_LOG_INFO);
+}
+
+void
+SlRolloutStatus_Want(struct sl_router *router, struct sl_rollout *rollout,
+                     enum sl_rollout_state state)
+{
+    struct sl_rollout_status status = status_of(router, rollout, state);
+    if (stands(rollout, &status)) {
+        rollout->wanted_us = 0;
+        return;
+    }
+    if (rollout->wanted_us == 0 || rollout->wanted_state != status.state) {
+        rollout->wanted_us = router->now_us;
+        rollout->wanted_state = status.state;
+    }
+    size_t rank = SlPeers_Rank(router, SlName_Str(&rollout->order.service));
+    if (rollout->append_token == 0 && router->feeds[Sl_FEED_STATUS].synced &&
+        router->now_us >= rollout->append_retry_us &&
+        router->now_us - rollout->wanted_us >= (int64_t)rank * Sl_RANK_US) {
+        write_status(router, rollout, &status);
+    }
+}
+
+void
+SlRolloutStatus_OnAppended(struct sl_router *router,
+                           const struct sl_router_event *event)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        if (rollout->append_token != event->u.appended.token) {
+            continue;
+        }
+        rollout->append_token = 0;
+        /* The status feed tells what stands now; until then, no repeat. */
+        rollout->append_retry_us = router->now_us + Sl_APPEND_RETRY_US;
+        if (event->err != NULL || event->u.appended.conflict) {
+            SlRollouts_Log(router, rollout, "rollout_write_failed");
+            SlLine_Int(router, "conflict", event->u.appended.conflict);
+            if (event->err != NULL) {
+                SlLine_Error(router, event->err);
+            }
+            SlLine_End(router, Sl_LOG_WARN);
+        }
+    }
+}
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -1,12 +1,14 @@
 /*
  * Moving a service's traffic to a version, and back when it proves bad.
  *
- * The first half of the time that the order gives belongs to a small share of
- * the sessions, chosen by hash, so that all routers choose alike; a session
- * goes over only when it has been idle for as long as a session lasts. In the
- * second half the share grows to the whole. The share never shrinks, except
- * to nothing when the answers of the target are worse than those of the
- * versions that it replaces; so no session goes back and forth.
+ * A small share of the sessions goes first, chosen by hash, so that all
+ * routers choose alike; a session goes over only when it has been idle for as
+ * long as a session lasts. The share grows to the whole in the second half of
+ * the time that the order gives, and not before the exposure that a bad
+ * version may have covers all requests until that time is over. The share
+ * never shrinks, except to nothing when the answers of the target are worse
+ * than those of the versions that it replaces; so no session goes back and
+ * forth.
  *
  * Every router judges by its own answers and those that its peers tell it.
  * The answer to the order is one record in the store, written only if nobody
@@ -16,24 +18,24 @@
 
 #include <string.h>
 
-/* Share of the sessions in the first half, of what a bad version may get. */
-#define Sl_CANARY_OF_EXPOSURE 0.6
-/* Parts of the order's time: where the share begins to grow, and how long it
- * grows. */
+/* Part of the order's time before which sessions must not change versions. */
 #define Sl_RAMP_AT 0.5
-#define Sl_RAMP_FOR 0.12
+/* The share grows to the whole in this part of the time that is left then. */
+#define Sl_RAMP_OF_REST 0.25
 /* Routers learn of an order at times that differ by less than this. */
 #define Sl_SKEW_US (300 * Sl_US_PER_MS)
 /* With all traffic at the target, it is watched for so long at least. */
 #define Sl_SETTLE_US (1500 * Sl_US_PER_MS)
-/* Left of the order's time when it is completed at the latest. */
-#define Sl_RESERVE_US (1800 * Sl_US_PER_MS)
-/* Pause between the routers that may write the status, by rank. */
-#define Sl_RANK_US (300 * Sl_US_PER_MS)
-/* Pause before a write that failed is repeated. */
-#define Sl_APPEND_RETRY_US (400 * Sl_US_PER_MS)
+/* Left of the order's time when it is completed at the latest: a write of the
+ * store, and two routers that are first by rank and cannot write. */
+#define Sl_RESERVE_US Sl_US_PER_S
 /* A peer's evidence is used up to this age. */
 #define Sl_EVIDENCE_AGE_US (3 * Sl_US_PER_S)
+/* The order is completed on this many recent answers of the target, or when
+ * some router has followed the roll-out for so long: routers that have all
+ * started anew know nothing of the target. */
+#define Sl_LEAST_ANSWERS 5
+#define Sl_LONG_WATCH_US (10 * Sl_US_PER_S)
 /* Pause between two looks at the evidence. */
 #define Sl_CHECK_US (150 * Sl_US_PER_MS)
 /* A router that learns of a roll-out so soon after its start was not there
@@ -44,8 +46,8 @@
 
 /* ---- state ---- */
 
-static struct sl_rollout *
-find(const struct sl_router *router, const struct sl_name *service)
+struct sl_rollout *
+SlRollouts_Find(const struct sl_router *router, const struct sl_name *service)
 {
     return g_hash_table_lookup(router->rollouts, service);
 }
@@ -60,7 +62,7 @@
 SlRollouts_IsRunning(const struct sl_router *router,
                      const struct sl_name *service)
 {
-    const struct sl_rollout *rollout = find(router, service);
+    const struct sl_rollout *rollout = SlRollouts_Find(router, service);
     return rollout != NULL && !is_over(rollout);
 }
 
@@ -77,7 +79,7 @@
 SlRollouts_Target(const struct sl_router *router,
                   const struct sl_name *service)
 {
-    const struct sl_rollout *rollout = find(router, service);
+    const struct sl_rollout *rollout = SlRollouts_Find(router, service);
     return rollout == NULL ? NULL : &rollout->order.version;
 }
 
@@ -88,22 +90,23 @@
     return names[state];
 }
 
-static int64_t
-elapsed_us(const struct sl_router *router, const struct sl_rollout *rollout)
+int64_t
+SlRollouts_ElapsedUs(const struct sl_router *router,
+                     const struct sl_rollout *rollout)
 {
     return router->now_us - rollout->began_us;
 }
 
-static void
-log_rollout(struct sl_router *router, const struct sl_rollout *rollout,
-            const char *event)
+void
+SlRollouts_Log(struct sl_router *router, const struct sl_rollout *rollout,
+               const char *event)
 {
     SlLine_Begin(router, event);
     SlLine_Name(router, "service", &rollout->order.service);
     SlLine_Name(router, "target", &rollout->order.version);
     SlLine_Int(router, "order", (int64_t)rollout->offset);
     SlLine_Int(router, "elapsed_ms",
-               elapsed_us(router, rollout) / Sl_US_PER_MS);
+               SlRollouts_ElapsedUs(router, rollout) / Sl_US_PER_MS);
     SlLine_Int(router, "duration_ms",
                rollout->order.duration_us / Sl_US_PER_MS);
 }
@@ -126,7 +129,15 @@
 static double
 canary_share(const struct sl_router *router)
 {
-    return Sl_CANARY_OF_EXPOSURE * router->options.bounds.exposure_share;
+    return SlExposure_CanaryShare(&router->options.bounds);
+}
+
+/* How long the share grows, from a ramp that begins or began `at_us`. */
+static int64_t
+ramp_length_us(const struct sl_rollout *rollout, int64_t at_us)
+{
+    int64_t rest_us = rollout->order.duration_us - (at_us - rollout->began_us);
+    return MAX((int64_t)(Sl_RAMP_OF_REST * (double)rest_us), Sl_US_PER_MS);
 }
 
 double
@@ -134,15 +145,15 @@
                  const struct sl_rollout *rollout)
 {
     double canary = canary_share(router);
-    if (rollout->suspect ||
-        elapsed_us(router, rollout) < router->options.bounds.session_us) {
+    if (rollout->suspect || SlRollouts_ElapsedUs(router, rollout) <
+                                router->options.bounds.session_us) {
         return 0;
     }
     if (rollout->ramped_us == 0) {
         return canary;
     }
     double grown = (double)(router->now_us - rollout->ramped_us) /
-                   (Sl_RAMP_FOR * (double)rollout->order.duration_us);
+                   (double)ramp_length_us(rollout, rollout->ramped_us);
     return CLAMP(grown, canary, 1.0);
 }
 
@@ -216,7 +227,8 @@
 enum sl_version_rule
 SlRollouts_RuleFor(struct sl_router *router, const struct sl_flight *flight)
 {
-    const struct sl_rollout *rollout = find(router, &flight->service->name);
+    const struct sl_rollout *rollout =
+        SlRollouts_Find(router, &flight->service->name);
     size_t base;
     if (rollout == NULL) {
         return Sl_VERSION_ANY;
@@ -244,25 +256,39 @@
     return Sl_VERSION_TARGET;
 }
 
+static void
+note_call_at_base(struct sl_router *router, struct sl_rollout *rollout,
+                  struct sl_flight *flight)
+{
+    flight->exchange.at_base = true;
+    rollout->base_in_flight++;
+    note_at_base(router, rollout, session_key(flight), true);
+}
+
 void
 SlRollouts_OnSent(struct sl_router *router, struct sl_flight *flight,
                   const struct sl_upstream *upstream)
 {
-    struct sl_rollout *rollout = find(router, &flight->service->name);
+    struct sl_rollout *rollout =
+        SlRollouts_Find(router, &flight->service->name);
     flight->exchange.at_base = false;
-    if (rollout == NULL ||
-        SlName_Equal(&upstream->reg.version, &rollout->order.version)) {
+    if (rollout == NULL) {
         return;
     }
-    flight->exchange.at_base = true;
-    rollout->base_in_flight++;
-    note_at_base(router, rollout, session_key(flight), true);
+    bool is_target =
+        SlName_Equal(&upstream->reg.version, &rollout->order.version);
+    rollout->calls.all++;
+    rollout->calls.target += is_target ? 1 : 0;
+    if (!is_target) {
+        note_call_at_base(router, rollout, flight);
+    }
 }
 
 void
 SlRollouts_OnEnded(struct sl_router *router, struct sl_flight *flight)
 {
-    struct sl_rollout *rollout = find(router, &flight->service->name);
+    struct sl_rollout *rollout =
+        SlRollouts_Find(router, &flight->service->name);
     if (!flight->exchange.at_base || rollout == NULL) {
         return;
     }
@@ -277,7 +303,8 @@
 SlRollouts_OnAnswer(struct sl_router *router, struct sl_flight *flight,
                     const struct sl_answer_signs *signs)
 {
-    struct sl_rollout *rollout = find(router, &flight->service->name);
+    struct sl_rollout *rollout =
+        SlRollouts_Find(router, &flight->service->name);
     if (rollout == NULL || is_over(rollout)) {
         return;
     }
@@ -297,19 +324,37 @@
     }
 }
 
+/* What the peer's newest digest says of the roll-out, or NULL. */
 static const struct sl_gossip_rollout *
-told_by(const struct sl_router *router, const struct sl_router_peer *peer,
-        const struct sl_rollout *rollout)
+last_told_by(const struct sl_router_peer *peer,
+             const struct sl_rollout *rollout)
 {
     for (size_t i = 0; i < peer->digest.rollout_count; i++) {
-        if (peer->digest.rollouts[i].order == rollout->offset &&
-            router->now_us - peer->heard_us < Sl_EVIDENCE_AGE_US) {
+        if (peer->digest.rollouts[i].order == rollout->offset) {
             return &peer->digest.rollouts[i];
         }
     }
     return NULL;
 }
 
+/* The same, unless it is too old to be evidence. */
+static const struct sl_gossip_rollout *
+told_by(const struct sl_router *router, const struct sl_router_peer *peer,
+        const struct sl_rollout *rollout)
+{
+    bool is_fresh = router->now_us - peer->heard_us < Sl_EVIDENCE_AGE_US;
+    return is_fresh ? last_told_by(peer, rollout) : NULL;
+}
+
+/* The target is bad: it gets nothing new. Begins a log line. */
+static void
+suspect(struct sl_router *router, struct sl_rollout *rollout)
+{
+    rollout->suspect = true;
+    router->capacity_changed = true;
+    SlRollouts_Log(router, rollout, "rollout_suspect");
+}
+
 static void
 judge(struct sl_router *router, struct sl_rollout *rollout)
 {
@@ -324,13 +369,12 @@
             SlTallies_Add(&all, told, router->now_us);
         }
     }
+    rollout->target_answers = SlTallies_TargetAnswers(&all);
     struct sl_verdict verdict = SlTallies_Judge(&all);
     if (!verdict.is_worse) {
         return;
     }
-    rollout->suspect = true;
-    router->capacity_changed = true;
-    log_rollout(router, rollout, "rollout_suspect");
+    suspect(router, rollout);
     SlLine_C(router, "sign", verdict.sign == Sl_SIGN_SLOW ? "slow" : "failed");
     SlLine_Int(router, "target_answers", (int64_t)verdict.target.answers);
     SlLine_Int(router, "target_bad", (int64_t)verdict.target.bad);
@@ -356,96 +400,100 @@
     return sum;
 }
 
-static void
-advance(struct sl_router *router, struct sl_rollout *rollout)
+/* Calls of all routers. Those that are silent send no more, but what they
+ * sent counts. */
+static struct sl_exposure
+fleet_exposure(const struct sl_router *router,
+               const struct sl_rollout *rollout)
+{
+    struct sl_exposure sum = {0};
+    GHashTableIter iter;
+    gpointer value;
+    SlExposure_Add(&sum, &rollout->calls, router->now_us - rollout->counted_us,
+                   true);
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_gossip_rollout *told = last_told_by(value, rollout);
+        if (told != NULL) {
+            SlExposure_Add(&sum, &told->calls, told->counted_ms * Sl_US_PER_MS,
+                           told_by(router, value, rollout) != NULL);
+        }
+    }
+    return sum;
+}
+
+static bool
+may_ramp(const struct sl_router *router, const struct sl_rollout *rollout,
+         const struct sl_exposure *exposure)
 {
+    int64_t elapsed = SlRollouts_ElapsedUs(router, rollout);
     int64_t duration = rollout->order.duration_us;
     size_t base;
-    if (rollout->ramped_us == 0 &&
-        elapsed_us(router, rollout) >=
-            (int64_t)(Sl_RAMP_AT * (double)duration) + Sl_SKEW_US &&
-        2 * ready_targets(router, rollout, &base) >= base) {
-        rollout->ramped_us = router->now_us;
-        log_rollout(router, rollout, "rollout_ramp");
-        SlLine_End(router, Sl_LOG_INFO);
+    return elapsed >= (int64_t)(Sl_RAMP_AT * (double)duration) + Sl_SKEW_US &&
+           2 * ready_targets(router, rollout, &base) >= base &&
+           SlExposure_CoversRest(&router->options.bounds, exposure, elapsed,
+                                 duration);
+}
+
+static void
+advance(struct sl_router *router, struct sl_rollout *rollout)
+{
+    if (rollout->ramped_us == 0) {
+        struct sl_exposure exposure = fleet_exposure(router, rollout);
+        if (may_ramp(router, rollout, &exposure)) {
+            rollout->ramped_us = router->now_us;
+            SlRollouts_Log(router, rollout, "rollout_ramp");
+            SlLine_Int(router, "target_calls", (int64_t)exposure.target_calls);
+            SlLine_Int(router, "calls_per_s", (int64_t)exposure.per_s);
+            SlLine_End(router, Sl_LOG_INFO);
+        }
     }
     if (rollout->ramped_us != 0 && rollout->full_us == 0 &&
         SlRollouts_Share(router, rollout) >= 1) {
         rollout->full_us = router->now_us;
-        log_rollout(router, rollout, "rollout_full");
+        SlRollouts_Log(router, rollout, "rollout_full");
         SlLine_End(router, Sl_LOG_INFO);
     }
 }
 
+static bool
+is_watched(const struct sl_router *router, const struct sl_rollout *rollout)
+{
+    int64_t longest_us = router->now_us - rollout->counted_us;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_gossip_rollout *told = told_by(router, value, rollout);
+        if (told != NULL) {
+            longest_us = MAX(longest_us, told->counted_ms * Sl_US_PER_MS);
+        }
+    }
+    return rollout->target_answers >= Sl_LEAST_ANSWERS ||
+           longest_us >= Sl_LONG_WATCH_US;
+}
+
 static bool
 may_complete(const struct sl_router *router, const struct sl_rollout *rollout)
 {
-    if (rollout->full_us == 0) {
+    if (rollout->full_us == 0 || !is_watched(router, rollout)) {
         return false;
     }
     int64_t watched = router->now_us - rollout->full_us;
     bool settled = watched >= Sl_SETTLE_US + Sl_SKEW_US &&
                    fleet_base_in_flight(router, rollout) == 0;
-    return settled || elapsed_us(router, rollout) >=
+    return settled || SlRollouts_ElapsedUs(router, rollout) >=
                           rollout->order.duration_us - Sl_RESERVE_US;
 }
 
-/* ---- status ---- */
-
-/* The status that should stand in the store; false when the right one does. */
-static bool
-wanted_status(const struct sl_router *router, const struct sl_rollout *rollout,
-              struct sl_rollout_status *status)
-{
-    status->service = rollout->order.service;
-    status->version = rollout->order.version;
-    status->order = rollout->offset;
-    status->ramped = rollout->ramped_us != 0;
-    status->began_ms =
-        router->wall_ms - elapsed_us(router, rollout) / Sl_US_PER_MS;
-    status->state = rollout->suspect                ? Sl_ROLLOUT_ROLLED_BACK
-                    : may_complete(router, rollout) ? Sl_ROLLOUT_COMPLETED
-                                                    : Sl_ROLLOUT_RUNNING;
-    return !rollout->has_status || status->state != rollout->state ||
-           status->ramped != rollout->status_ramped;
-}
-
-static void
-write_status(struct sl_router *router, struct sl_rollout *rollout,
-             const struct sl_rollout_status *status)
-{
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_APPEND);
-    rollout->append_token = ++router->last_token;
-    effect->u.append.feed = Sl_FEED_STATUS;
-    effect->u.append.token = rollout->append_token;
-    effect->u.append.conditional = true;
-    effect->u.append.at = router->feeds[Sl_FEED_STATUS].next;
-    effect->u.append.record.type = Sl_RECORD_STATUS;
-    effect->u.append.record.u.status = *status;
-    log_rollout(router, rollout, "rollout_write");
-    SlLine_C(router, "state", SlRollouts_StateName(status->state));
-    SlLine_Int(router, "at", (int64_t)effect->u.append.at);
-    SlLine_End(router, Sl_LOG_INFO);
-}
-
-static void
-answer_order(struct sl_router *router, struct sl_rollout *rollout)
+static enum sl_rollout_state
+wanted_state(const struct sl_router *router, const struct sl_rollout *rollout)
 {
-    struct sl_rollout_status status;
-    if (!wanted_status(router, rollout, &status)) {
-        rollout->wanted_us = 0;
-        return;
-    }
-    if (rollout->wanted_us == 0 || rollout->wanted_state != status.state) {
-        rollout->wanted_us = router->now_us;
-        rollout->wanted_state = status.state;
-    }
-    size_t rank = SlPeers_Rank(router, SlName_Str(&rollout->order.service));
-    if (rollout->append_token == 0 && router->feeds[Sl_FEED_STATUS].synced &&
-        router->now_us >= rollout->append_retry_us &&
-        router->now_us - rollout->wanted_us >= (int64_t)rank * Sl_RANK_US) {
-        write_status(router, rollout, &status);
+    if (rollout->suspect) {
+        return Sl_ROLLOUT_ROLLED_BACK;
     }
+    return may_complete(router, rollout) ? Sl_ROLLOUT_COMPLETED
+                                         : Sl_ROLLOUT_RUNNING;
 }
 
 static void
@@ -475,7 +523,7 @@
             judge(router, rollout);
             advance(router, rollout);
         }
-        answer_order(router, rollout);
+        SlRolloutStatus_Want(router, rollout, wanted_state(router, rollout));
     }
     if (active && router->rollout_timer == 0) {
         router->rollout_timer = SlTimers_Subscribe(
@@ -483,32 +531,6 @@
     }
 }
 
-void
-SlRollouts_OnAppended(struct sl_router *router,
-                      const struct sl_router_event *event)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, router->rollouts);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct sl_rollout *rollout = value;
-        if (rollout->append_token != event->u.appended.token) {
-            continue;
-        }
-        rollout->append_token = 0;
-        /* The status feed tells what stands now; until then, no repeat. */
-        rollout->append_retry_us = router->now_us + Sl_APPEND_RETRY_US;
-        if (event->err != NULL || event->u.appended.conflict) {
-            log_rollout(router, rollout, "rollout_write_failed");
-            SlLine_Int(router, "conflict", event->u.appended.conflict);
-            if (event->err != NULL) {
-                SlLine_Error(router, event->err);
-            }
-            SlLine_End(router, Sl_LOG_WARN);
-        }
-    }
-}
-
 /* ---- news ---- */
 
 static void
@@ -519,9 +541,12 @@
     g_hash_table_iter_init(&iter, router->flights);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_flight *flight = value;
-        if (flight->exchange.token != 0 &&
-            SlName_Equal(&flight->service->name, &rollout->order.service)) {
-            SlRollouts_OnSent(router, flight, flight->exchange.upstream);
+        const struct sl_exchange *exchange = &flight->exchange;
+        if (exchange->token != 0 &&
+            SlName_Equal(&flight->service->name, &rollout->order.service) &&
+            !SlName_Equal(&exchange->upstream->reg.version,
+                          &rollout->order.version)) {
+            note_call_at_base(router, rollout, flight);
         }
     }
 }
@@ -543,7 +568,7 @@
 static void
 take_status(struct sl_router *router, const struct sl_rollout_status *status)
 {
-    struct sl_rollout *rollout = find(router, &status->service);
+    struct sl_rollout *rollout = SlRollouts_Find(router, &status->service);
     if (rollout == NULL || status->order != rollout->offset) {
         return;
     }
@@ -557,12 +582,11 @@
         rollout->ramped_us = router->now_us;
         if (router->now_us - router->started_us < Sl_STARTING_US) {
             /* The others may be further: sessions must not go back. */
-            rollout->ramped_us -=
-                (int64_t)(Sl_RAMP_FOR * (double)rollout->order.duration_us);
+            rollout->ramped_us -= ramp_length_us(rollout, router->now_us);
         }
     }
     router->capacity_changed = true;
-    log_rollout(router, rollout, "rollout_status");
+    SlRollouts_Log(router, rollout, "rollout_status");
     SlLine_C(router, "state", SlRollouts_StateName(status->state));
     SlLine_Int(router, "ramped", status->ramped);
     SlLine_End(router, Sl_LOG_INFO);
@@ -572,13 +596,13 @@
 SlRollouts_OnOrder(struct sl_router *router, const struct sl_record *record)
 {
     const struct sl_rollout_order *order = &record->u.rollout;
-    struct sl_rollout *rollout = find(router, &order->service);
+    struct sl_rollout *rollout = SlRollouts_Find(router, &order->service);
     if (rollout != NULL && record->offset <= rollout->offset) {
         return;
     }
     if (record->dropped) {
         if (rollout != NULL) {
-            log_rollout(router, rollout, "rollout_withdrawn");
+            SlRollouts_Log(router, rollout, "rollout_withdrawn");
             SlLine_End(router, Sl_LOG_INFO);
             g_hash_table_remove(router->rollouts, &order->service);
         }
@@ -588,10 +612,11 @@
     rollout->order = *order;
     rollout->offset = record->offset;
     rollout->began_us = router->now_us;
+    rollout->counted_us = router->now_us;
     rollout->at_base = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     rollout->told = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     g_hash_table_replace(router->rollouts, &rollout->order.service, rollout);
-    log_rollout(router, rollout, "rollout_order");
+    SlRollouts_Log(router, rollout, "rollout_order");
     SlLine_End(router, Sl_LOG_INFO);
     note_flights(router, rollout);
     const struct sl_rollout_status *status =
@@ -614,8 +639,21 @@
     }
 }
 
+/* A router that has just started holds no evidence of its own, and that of
+ * its peers has faded since they left the target. */
+static void
+take_verdict(struct sl_router *router, struct sl_rollout *rollout,
+             const struct sl_name *teller)
+{
+    if (!rollout->suspect && !is_over(rollout)) {
+        suspect(router, rollout);
+        SlLine_Name(router, "told_by", teller);
+        SlLine_End(router, Sl_LOG_WARN);
+    }
+}
+
 void
-SlRollouts_OnGossip(struct sl_router *router,
+SlRollouts_OnGossip(struct sl_router *router, const struct sl_name *teller,
                     const struct sl_gossip_rollout *digest)
 {
     GHashTableIter iter;
@@ -628,6 +666,9 @@
         }
         int64_t began = router->now_us - digest->elapsed_ms * Sl_US_PER_MS;
         rollout->began_us = MIN(rollout->began_us, began);
+        if (digest->is_suspect) {
+            take_verdict(router, rollout, teller);
+        }
         for (size_t i = 0; i < digest->session_count; i++) {
             note_at_base(router, rollout, digest->sessions[i], false);
         }
@@ -671,8 +712,12 @@
         memset(told, 0, sizeof(*told));
         told->order = rollout->offset;
         told->elapsed_ms =
-            (uint32_t)(elapsed_us(router, rollout) / Sl_US_PER_MS);
+            (uint32_t)(SlRollouts_ElapsedUs(router, rollout) / Sl_US_PER_MS);
         told->base_in_flight = (uint32_t)rollout->base_in_flight;
+        told->is_suspect = rollout->suspect;
+        told->calls = rollout->calls;
+        told->counted_ms =
+            (uint32_t)((router->now_us - rollout->counted_us) / Sl_US_PER_MS);
         SlTallies_Tell(&rollout->tallies, told, router->now_us);
         tell_flights(router, rollout, told);
         for (size_t i = 0; i < rollout->told->len &&
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -215,7 +215,7 @@
             SlDigests_OnRegistered(router, event->err);
         }
         else {
-            SlRollouts_OnAppended(router, event);
+            SlRolloutStatus_OnAppended(router, event);
         }
         break;
     case Sl_REV_PULL:
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -15,7 +15,9 @@
  * sl_calls.c      sending to upstreams
  * sl_placement.c  which upstream a flight goes to
  * sl_rollouts.c   moving a service's traffic to a version
+ * sl_rollout_status.c  the answer to a roll-out's order
  * sl_tallies.c    is a version worse than the others
+ * sl_exposure.c   how much traffic a roll-out's target may have
  * sl_cold.c       how much of a cold upstream's allowance is ours
  * sl_peers.c      the other routers
  * sl_upstreams.c  what is believed of upstreams
@@ -165,10 +167,13 @@
     int64_t wanted_us; /* since when another status should stand; 0: none */
     uint64_t append_token; /* status being written; 0: none */
     int64_t append_retry_us;
-    int64_t base_in_flight; /* own */
+    int64_t base_in_flight;       /* own */
+    struct sl_gossip_calls calls; /* own, while the roll-out is under way */
+    int64_t counted_us;           /* since when they are counted */
     struct sl_tallies tallies;
-    GHashTable *at_base; /* session -> int64_t last time at a base version */
-    GArray *told;        /* uint32_t sessions for the next digest */
+    double target_answers; /* recent ones that all routers told */
+    GHashTable *at_base;   /* session -> int64_t last time at a base version */
+    GArray *told;          /* uint32_t sessions for the next digest */
 };
 
 /* Where a flight may go while a roll-out is under way. */
@@ -554,9 +559,8 @@
 void SlRollouts_OnStatus(struct sl_router *router,
                          const struct sl_record *record);
 void SlRollouts_OnGossip(struct sl_router *router,
+                         const struct sl_name *teller,
                          const struct sl_gossip_rollout *digest);
-void SlRollouts_OnAppended(struct sl_router *router,
-                           const struct sl_router_event *event);
 /* Acts on what time and evidence say. */
 void SlRollouts_Run(struct sl_router *router);
 /* Adds what peers should know to the digest. */
@@ -584,6 +588,46 @@
 double SlRollouts_Share(const struct sl_router *router,
                         const struct sl_rollout *rollout);
 
+/* NULL when the service has none. */
+struct sl_rollout *SlRollouts_Find(const struct sl_router *router,
+                                   const struct sl_name *service);
+/* Since the order was first seen by anybody. */
+int64_t SlRollouts_ElapsedUs(const struct sl_router *router,
+                             const struct sl_rollout *rollout);
+/* Begins a log line about a roll-out. */
+void SlRollouts_Log(struct sl_router *router, const struct sl_rollout *rollout,
+                    const char *event);
+
+/* ---- status of roll-outs ---- */
+
+/* The order should be answered with this state: writes it, when it is this
+ * router's turn, unless it stands already. */
+void SlRolloutStatus_Want(struct sl_router *router, struct sl_rollout *rollout,
+                          enum sl_rollout_state state);
+void SlRolloutStatus_OnAppended(struct sl_router *router,
+                                const struct sl_router_event *event);
+
+/* ---- exposure to roll-outs ---- */
+
+/* Calls to a service of all routers since the order of its roll-out. */
+struct sl_exposure {
+    double per_s;
+    double target_calls;
+};
+
+/* Share of the sessions that the target has until its share grows. */
+double SlExposure_CanaryShare(const struct sl_bounds *bounds);
+/* Adds a router's calls, counted for `for_us`; they count for the rate only
+ * while the router is live. */
+void SlExposure_Add(struct sl_exposure *sum,
+                    const struct sl_gossip_calls *calls, int64_t for_us,
+                    bool is_live);
+/* May the target get all requests from now until the order's time is over,
+ * should it be bad? */
+bool SlExposure_CoversRest(const struct sl_bounds *bounds,
+                           const struct sl_exposure *exposure,
+                           int64_t elapsed_us, int64_t duration_us);
+
 /* ---- evidence of roll-outs ---- */
 
 /* The route's counts, as of now; added when it has none. */
@@ -599,6 +643,8 @@
 void SlTallies_Tell(struct sl_tallies *tallies, struct sl_gossip_rollout *told,
                     int64_t now_us);
 struct sl_verdict SlTallies_Judge(const struct sl_tallies *tallies);
+/* Answers of the target that are left of those counted. */
+double SlTallies_TargetAnswers(const struct sl_tallies *tallies);
 
 /* ---- placement ---- */
 
--- a/lib/router/sl_tallies.c
+++ b/lib/router/sl_tallies.c
@@ -211,3 +211,13 @@
     (void)judge_tally(&all, &verdict);
     return verdict;
 }
+
+double
+SlTallies_TargetAnswers(const struct sl_tallies *tallies)
+{
+    double sum = 0;
+    for (size_t i = 0; i < tallies->count; i++) {
+        sum += tallies->routes[i].target[Sl_SIGN_FAILED].answers;
+    }
+    return sum;
+}
--- /dev/null
+++ b/tests/unit/router_fleet_world.h
@@ -0,0 +1,356 @@
+// Several routers in one virtual time: digests and records of the store reach
+// all of them, and upstreams answer what a test tells them to.
+#ifndef SL_ROUTER_FLEET_WORLD_H
+#define SL_ROUTER_FLEET_WORLD_H
+
+#include <deque>
+
+#include "router_world.h"
+
+// A call that reached an upstream.
+struct FleetCall {
+    size_t router;
+    uint64_t token;
+    std::string request;
+    std::string upstream;
+    int64_t at_us;
+};
+
+// What the upstream does with it.
+struct FleetAnswer {
+    int64_t after_us = 0;
+    int status = 200;
+    bool breaks_off = false; // the connection ends without an answer
+};
+
+class Fleet {
+  public:
+    // Granularity of time; digests and appends take one step to arrive.
+    static const int64_t step_ms = 5;
+
+    std::function<FleetAnswer(const FleetCall &)> on_call;
+    std::function<void(const struct sl_record &)> on_status;
+    std::function<void(uint64_t, int)> on_reply;
+
+    void
+    start(size_t routers, const struct sl_bounds &bounds)
+    {
+        for (size_t i = 0; i < routers; i++) {
+            worlds.push_back(std::make_unique<World>());
+            World &world = *worlds.back();
+            world.now_us = now_us;
+            world.on_effect = [this,
+                               i](const struct sl_router_effect &effect) {
+                take(i, effect);
+            };
+            world.start(name_of(i), domains[i % 3], bounds, "", i + 1);
+        }
+    }
+
+    size_t
+    size() const
+    {
+        return worlds.size();
+    }
+
+    int64_t
+    now() const
+    {
+        return now_us;
+    }
+
+    // Every router reads the record.
+    void
+    append(enum sl_feed feed, const std::string &key,
+           const struct sl_record &record)
+    {
+        for (auto &world : worlds) {
+            if (record.type == Sl_RECORD_ROUTING) {
+                SlRouting_Ref(record.u.routing);
+            }
+            world->append(feed, key, record);
+        }
+        if (record.type == Sl_RECORD_ROUTING) {
+            SlRouting_Unref(record.u.routing);
+        }
+    }
+
+    uint64_t
+    end(enum sl_feed feed) const
+    {
+        return worlds.front()->topics[feed].end();
+    }
+
+    void
+    ask(size_t router, const std::string &path, const std::string &session,
+        int64_t deadline_ms)
+    {
+        std::string id = "r" + std::to_string(++last_conn);
+        struct sl_router_event event =
+            worlds[router]->event_of(Sl_REV_REQUEST);
+        struct sl_ask &ask = event.u.ask;
+        ask.conn = last_conn;
+        ask.id = view(id);
+        ask.method = Sl_STR("POST");
+        ask.target = view(path);
+        ask.host = Sl_STR("h");
+        ask.model = Sl_STR("m");
+        ask.session = view(session);
+        ask.deadline_us = deadline_ms * Sl_US_PER_MS;
+        ask.last_event = -1;
+        worlds[router]->reduce(event);
+    }
+
+    void
+    pass_step()
+    {
+        now_us += step_ms * Sl_US_PER_MS;
+        for (auto &world : worlds) {
+            world->pass(step_ms);
+        }
+        deliver_appends();
+        deliver_digests();
+        answer_pulls();
+        answer_calls();
+    }
+
+    void
+    pass(int64_t ms)
+    {
+        for (int64_t end_us = now_us + ms * Sl_US_PER_MS; now_us < end_us;) {
+            pass_step();
+        }
+    }
+
+  private:
+    struct pending_append {
+        size_t router;
+        enum sl_feed feed;
+        uint64_t token;
+        bool conditional;
+        uint64_t at;
+        struct sl_record record;
+    };
+    struct pending_digest {
+        std::string address;
+        std::shared_ptr<struct sl_gossip> digest;
+    };
+    struct pending_pull {
+        size_t router;
+        enum sl_feed feed;
+        uint64_t from;
+    };
+    struct pending_answer {
+        FleetCall call;
+        FleetAnswer answer;
+    };
+    const char *const domains[3] = {"brest", "quimper", "vannes"};
+    int64_t now_us = 1000 * Sl_US_PER_S;
+    uint64_t last_conn = 0;
+    std::vector<std::unique_ptr<World>> worlds;
+    std::deque<pending_append> appends;
+    std::deque<pending_digest> digests;
+    std::deque<pending_pull> pulls;
+    std::multimap<int64_t, pending_answer> answers; // by time
+
+    static std::string
+    name_of(size_t router)
+    {
+        return "e" + std::to_string(router + 1);
+    }
+
+    void
+    take(size_t router, const struct sl_router_effect &effect)
+    {
+        switch (effect.type) {
+        case Sl_RFX_CALL: {
+            const struct sl_fx_upstream_call &call = effect.u.call;
+            FleetCall made = {router, call.token, text(call.request_id),
+                              text(SlName_Str(&call.upstream)), now_us};
+            FleetAnswer answer = on_call(made);
+            answers.insert({now_us + answer.after_us, {made, answer}});
+            break;
+        }
+        case Sl_RFX_CANCEL:
+            for (auto at = answers.begin(); at != answers.end(); ++at) {
+                if (at->second.call.router == router &&
+                    at->second.call.token == effect.u.token) {
+                    answers.erase(at);
+                    break;
+                }
+            }
+            break;
+        case Sl_RFX_REPLY:
+            if (on_reply) {
+                on_reply(effect.u.reply.conn, effect.u.reply.status);
+            }
+            break;
+        case Sl_RFX_APPEND:
+            appends.push_back({router, effect.u.append.feed,
+                               effect.u.append.token,
+                               effect.u.append.conditional, effect.u.append.at,
+                               effect.u.append.record});
+            break;
+        case Sl_RFX_GOSSIP:
+            for (size_t i = 0; i < effect.u.gossip.count; i++) {
+                digests.push_back(
+                    {text(SlName_Str(effect.u.gossip.addresses[i])),
+                     std::make_shared<struct sl_gossip>(
+                         *effect.u.gossip.digest)});
+            }
+            break;
+        case Sl_RFX_PULL:
+            pulls.push_back({router, effect.u.pull.feed, effect.u.pull.from});
+            break;
+        default:
+            break;
+        }
+    }
+
+    void
+    deliver_appends()
+    {
+        std::deque<pending_append> due;
+        due.swap(appends);
+        for (pending_append &append_of : due) {
+            bool conflict =
+                append_of.conditional && end(append_of.feed) != append_of.at;
+            struct sl_router_event event =
+                worlds[append_of.router]->event_of(Sl_REV_APPENDED);
+            if (!conflict) {
+                struct sl_record &record = append_of.record;
+                bool is_member = record.type == Sl_RECORD_MEMBER;
+                append(append_of.feed,
+                       is_member
+                           ? text(SlName_Str(&record.u.member.vm))
+                           : "rollout/" +
+                                 text(SlName_Str(&record.u.status.service)),
+                       record);
+                if (!is_member && on_status) {
+                    on_status(record);
+                }
+            }
+            event.u.appended.token = append_of.token;
+            event.u.appended.conflict = conflict;
+            event.u.appended.end = end(append_of.feed);
+            worlds[append_of.router]->reduce(event);
+        }
+    }
+
+    void
+    deliver_digests()
+    {
+        std::deque<pending_digest> due;
+        due.swap(digests);
+        for (const pending_digest &sent : due) {
+            for (size_t i = 0; i < worlds.size(); i++) {
+                if (sent.address == name_of(i) + ":7340") {
+                    struct sl_router_event event =
+                        worlds[i]->event_of(Sl_REV_GOSSIP);
+                    event.u.gossip = sent.digest.get();
+                    worlds[i]->reduce(event);
+                }
+            }
+        }
+    }
+
+    // Every peer holds all records.
+    void
+    answer_pulls()
+    {
+        std::deque<pending_pull> due;
+        due.swap(pulls);
+        for (const pending_pull &pull : due) {
+            World &world = *worlds[pull.router];
+            std::vector<struct sl_record> records =
+                world.topics[pull.feed].from(pull.from);
+            struct sl_router_event event = world.event_of(Sl_REV_PULLED);
+            event.u.feed.feed = pull.feed;
+            event.u.feed.end = world.topics[pull.feed].end();
+            event.u.feed.count = records.size();
+            event.u.feed.records = records.data();
+            world.reduce(event);
+        }
+    }
+
+    void
+    answer_calls()
+    {
+        while (!answers.empty() && answers.begin()->first <= now_us) {
+            pending_answer due = answers.begin()->second;
+            answers.erase(answers.begin());
+            World &world = *worlds[due.call.router];
+            struct sl_error err;
+            if (!due.answer.breaks_off) {
+                struct sl_answer_head head = {};
+                head.status = due.answer.status;
+                head.is_stamped = true;
+                head.confidence = -1;
+                head.cold_us = -1;
+                struct sl_router_event event =
+                    world.event_of(Sl_REV_ANSWER_HEAD);
+                event.u.answer.token = due.call.token;
+                event.u.answer.head = &head;
+                world.reduce(event);
+            }
+            struct sl_router_event done = world.event_of(Sl_REV_ANSWER_DONE);
+            done.u.answer.token = due.call.token;
+            done.u.answer.connected = true;
+            if (due.answer.breaks_off) {
+                SlError_Set(&err, Sl_ERR_LOST, "upstream.read", "u",
+                            "connection reset");
+                done.err = &err;
+            }
+            world.reduce(done);
+        }
+    }
+};
+
+// Records of a deployment with one service.
+
+inline struct sl_record
+upstream_record(const std::string &id, const std::string &service,
+                const std::string &version, int64_t slots)
+{
+    struct sl_record record = {};
+    record.type = Sl_RECORD_UPSTREAM;
+    struct sl_registration &reg = record.u.upstream;
+    reg.id = SlName_Of(id.c_str());
+    reg.service = SlName_Of(service.c_str());
+    reg.address = SlName_Of((id + ":80").c_str());
+    reg.domain = SlName_Of("brest");
+    reg.version = SlName_Of(version.c_str());
+    reg.slots = slots;
+    reg.sequence = 1;
+    return record;
+}
+
+// One route to the service, for requests that may run more than once.
+inline struct sl_record
+routing_record(const std::string &service, const std::string &prefix,
+               int64_t max_attempts)
+{
+    struct sl_record record = {};
+    struct sl_error err;
+    record.type = Sl_RECORD_ROUTING;
+    record.u.routing = SlRouting_New(1);
+    struct sl_route_service added = {};
+    added.name = SlName_Of(service.c_str());
+    SlRouting_AddService(record.u.routing, &added, &err);
+    struct sl_route route = {};
+    route.name = SlName_Of("route");
+    route.host = SlName_Of("h");
+    route.prefix = SlName_Of(prefix.c_str());
+    route.kind = Sl_ROUTE_IDEMPOTENT;
+    route.is_public = true;
+    route.timeout_us = 10 * Sl_US_PER_S;
+    route.target_us = 2 * Sl_US_PER_S;
+    route.max_attempts = max_attempts;
+    route.target_count = 1;
+    route.targets[0].service = added.name;
+    route.targets[0].weight = 1;
+    SlRouting_AddRoute(record.u.routing, &route, &err);
+    return record;
+}
+
+#endif
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -23,7 +23,8 @@
 //   piece CONN TEXT
 //   done CONN [err=] [unsent]      of the newest call for that caller
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:N:MS] [sessions=..]
-//     [fault=ID[:replaced],..] [order=] [elapsed=MS] [leaving]
+//     [fault=ID[:replaced],..] [order=] [elapsed=MS] [suspect]
+//     [answers= bad= base-answers= base-bad=] [leaving]
 //     [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
 //   drain | show WORD... | hide WORD... | metrics WORD... | +MS
@@ -533,6 +534,7 @@
             rollout.order = (uint64_t)m.number("order");
             rollout.elapsed_ms = (uint32_t)m.number("elapsed");
             rollout.base_in_flight = (uint32_t)m.number("base");
+            rollout.is_suspect = m.flag("suspect");
             if (m.values.count("bad") != 0) {
                 rollout.tally_count = 1;
                 struct sl_gossip_tally &tally = rollout.tallies[0];
