--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -59,7 +59,7 @@
 /* ---- reads ---- */
 
 static void
-read_feed(struct sl_router *router, enum sl_feed feed)
+read_waiting(struct sl_router *router, enum sl_feed feed, int64_t wait_us)
 {
     struct sl_feed_state *state = &router->feeds[feed];
     struct sl_router_effect *effect = SlOutbox_Add(
@@ -68,9 +68,30 @@
     state->reading = true;
     effect->u.read.feed = feed;
     effect->u.read.from = state->next;
-    effect->u.read.wait_us = SlPeers_FleetSize(router) > 1
-                                 ? rules[feed].wait_us
-                                 : MIN(rules[feed].wait_us, Sl_LONE_WAIT_US);
+    effect->u.read.wait_us = wait_us;
+}
+
+static void
+read_feed(struct sl_router *router, enum sl_feed feed)
+{
+    int64_t wait_us = rules[feed].wait_us;
+    if (SlPeers_FleetSize(router) <= 1) {
+        wait_us = MIN(wait_us, Sl_LONE_WAIT_US);
+    }
+    read_waiting(router, feed, wait_us);
+}
+
+/* Gives up the read that is under way or planned. */
+static void
+cancel_read(struct sl_router *router, enum sl_feed feed)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (state->reading) {
+        SlOutbox_Add(router, Sl_RFX_READ_CANCEL)->u.read.feed = feed;
+        state->reading = false;
+    }
+    SlTimers_Cancel(router->timers, state->timer);
+    state->timer = 0;
 }
 
 static void read_after(struct sl_router *router, enum sl_feed feed,
@@ -201,6 +222,46 @@
     }
 }
 
+/* ---- refresh ---- */
+
+/* What a choice of an upstream goes by. */
+static const enum sl_feed refreshed[] = {Sl_FEED_OPERATORS, Sl_FEED_UPSTREAMS};
+
+void
+SlFeeds_Refresh(struct sl_router *router, int64_t until_us)
+{
+    router->refresh_until_us = until_us;
+    for (size_t i = 0; i < G_N_ELEMENTS(refreshed); i++) {
+        cancel_read(router, refreshed[i]);
+        router->feeds[refreshed[i]].refreshing = true;
+        read_waiting(router, refreshed[i], 0);
+    }
+}
+
+bool
+SlFeeds_IsRefreshing(const struct sl_router *router)
+{
+    if (router->now_us >= router->refresh_until_us) {
+        return false;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(refreshed); i++) {
+        if (router->feeds[refreshed[i]].refreshing) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The feed is up to date. */
+static void
+end_refresh(struct sl_router *router, enum sl_feed feed)
+{
+    if (router->feeds[feed].refreshing) {
+        router->feeds[feed].refreshing = false;
+        router->capacity_changed = true;
+    }
+}
+
 /* ---- records ---- */
 
 static void
@@ -367,6 +428,7 @@
     state->synced = true;
     state->behind_us = 0;
     state->next = MAX(state->next, event->u.feed.end);
+    end_refresh(router, feed);
 }
 
 /* ---- answers ---- */
@@ -394,8 +456,7 @@
     for (int i = 0; i < Sl_FEED_COUNT; i++) {
         enum sl_feed feed = (enum sl_feed)i;
         if (feed != back && router->feeds[feed].reading) {
-            SlOutbox_Add(router, Sl_RFX_READ_CANCEL)->u.read.feed = feed;
-            router->feeds[feed].reading = false;
+            cancel_read(router, feed);
             read_feed(router, feed);
         }
     }
@@ -533,8 +594,7 @@
     if (state->fail_since_us == 0) {
         if (state->reading) {
             /* The read that waits has missed the news. */
-            SlOutbox_Add(router, Sl_RFX_READ_CANCEL)->u.read.feed = feed;
-            state->reading = false;
+            cancel_read(router, feed);
             read_feed(router, feed);
         }
         return;
--- a/lib/router/sl_flight.c
+++ b/lib/router/sl_flight.c
@@ -170,6 +170,18 @@
     SlFlight_Fail(router, flight, &refusal);
 }
 
+void
+SlFlight_Postpone(struct sl_router *router, struct sl_flight *flight,
+                  int64_t until_us)
+{
+    if (flight->deadline_us < until_us) {
+        flight->deadline_us = until_us;
+        SlTimers_Cancel(router->timers, flight->timer);
+        flight->timer = SlTimers_Subscribe(router->timers, until_us,
+                                           on_deadline, router, flight->conn);
+    }
+}
+
 /* ---- arrival ---- */
 
 void
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -239,7 +239,7 @@
 {
     g_ptr_array_set_size(router->garbage, 0);
     router->fx = effects;
-    router->now_us = MAX(router->now_us, event->now_us);
+    SlStall_Check(router, event->now_us);
     router->wall_ms = event->wall_ms;
     if (!router->started) {
         start(router);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -3,6 +3,7 @@
  *
  * sl_router.c     dispatcher of events, start, drain, timers
  * sl_dump.c       state as JSON
+ * sl_stall.c      after the process did not run
  * sl_feeds.c      following the store's topics
  * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
@@ -282,6 +283,7 @@
     int64_t pull_us;   /* earliest next pull */
     int64_t behind_us; /* since when a peer is known to be ahead; 0: none */
     bool synced;       /* a snapshot was read */
+    bool refreshing;   /* since a stall nothing has told that it is current */
     uint64_t next;
     int64_t retry_us;
     int64_t fail_since_us; /* 0: the last read went well */
@@ -309,6 +311,7 @@
     int64_t store_seen_us; /* when it last answered; 0: never */
     int64_t store_back_us; /* when the store last came back; 0: never away */
     bool reads_store;      /* for its failure domain, as last logged */
+    int64_t refresh_until_us; /* a refresh of feeds is waited for until then */
     struct sl_routing *routing; /* NULL until one is known */
     uint64_t routing_offset;
     int64_t routing_us;    /* when it was taken */
@@ -684,11 +687,15 @@
 void SlFlight_Start(struct sl_router *router, const struct sl_ask *ask);
 void SlFlight_OnGone(struct sl_router *router, uint64_t conn);
 void SlFlight_Free(gpointer flight);
+/* Its deadline is no sooner than that. */
+void SlFlight_Postpone(struct sl_router *router, struct sl_flight *flight,
+                       int64_t until_us);
 /* Waits for an upstream, or goes at once. */
 void SlWaiting_Add(struct sl_router *router, struct sl_flight *flight);
 void SlWaiting_Remove(struct sl_router *router, struct sl_flight *flight);
 /* Sends what can go now, and refuses what cannot be served in time. */
 void SlWaiting_Run(struct sl_router *router);
+
 /* ---- repeats ---- */
 
 /* A request for the service has come. */
@@ -721,6 +728,12 @@
 /* Stops the call that is under way, if any. */
 void SlCalls_Cancel(struct sl_router *router, struct sl_flight *flight);
 
+/* ---- stalls ---- */
+
+/* Time goes on to `now_us`; finds that the process did not run for long, and
+ * does not go by what it believed before. */
+void SlStall_Check(struct sl_router *router, int64_t now_us);
+
 /* ---- silent calls ---- */
 
 /* When the call under way counts as silent, as things stand. */
@@ -787,11 +800,16 @@
 void SlFeeds_Free(struct sl_router *router);
 /* Reads a feed now, unless it is being read or soon will be. */
 void SlFeeds_Read(struct sl_router *router, enum sl_feed feed);
-/* Time since the store last answered; UINT32_MAX: it never did. */
+/* Reads anew what a choice of an upstream goes by, without waiting for news.
+ */
+void SlFeeds_Refresh(struct sl_router *router, int64_t until_us);
+/* Is it under way, and to be waited for? */
+bool SlFeeds_IsRefreshing(const struct sl_router *router);
 /* Adds the age of the store's news to the line in hand; -1: never read. */
 void SlFeeds_AddAge(struct sl_router *router);
 /* Logs when this router begins or ends to read the store for its domain. */
 void SlFeeds_NoteDuty(struct sl_router *router);
+/* Time since the store last answered; UINT32_MAX: it never did. */
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -125,9 +125,13 @@
 SlWaiting_Run(struct sl_router *router)
 {
     int64_t soonest = Sl_NEVER_US;
+    router->capacity_changed = false;
+    if (SlFeeds_IsRefreshing(router)) {
+        look_again_after(router, router->refresh_until_us - router->now_us);
+        return;
+    }
     GPtrArray *waiting = g_ptr_array_new();
     GHashTable *ahead = g_hash_table_new(NULL, NULL); /* service -> count */
-    router->capacity_changed = false;
     for (GList *at = router->queue->head; at != NULL; at = at->next) {
         g_ptr_array_add(waiting, at->data);
     }
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -16,6 +16,7 @@
 //   drop ID | evacuate DOMAIN | restore DOMAIN
 //   rollout SERVICE VERSION seconds= | status SERVICE VERSION STATE [ramped]
 //   store up | down | silent
+//   stall MS               time passes in which the process does not run
 //   request CONN host= path= [key=] [id=] [deadline=MS] [model=] [session=]
 //     [parts=ID:TOKENS,..] [tokens=] [last=]
 //   gone CONN
@@ -206,6 +207,7 @@
                 {"rollout", &Script::on_rollout},
                 {"status", &Script::on_status},
                 {"store", &Script::on_store},
+                {"stall", &Script::on_stall},
                 {"request", &Script::on_request},
                 {"gone", &Script::on_gone},
                 {"head", &Script::on_head},
@@ -404,6 +406,13 @@
         world.store_silent = m.words.at(1) == "silent";
     }
 
+    // Time passes in which the process does not run.
+    void
+    on_stall(const members &m)
+    {
+        world.now_us += std::stoll(m.words.at(1)) * Sl_US_PER_MS;
+    }
+
     void
     on_request(const members &m)
     {
