--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -119,7 +119,8 @@
 };
 
 struct sl_page {
-    uint64_t end; /* offset of the next record */
+    uint64_t end;     /* offset of the next record */
+    bool is_snapshot; /* keys that it does not hold are gone */
     size_t count;
     const struct sl_page_record *records;
 };
--- a/lib/gossip/sl_page.c
+++ b/lib/gossip/sl_page.c
@@ -1,11 +1,11 @@
-/* Pages of records: [end, [[offset, key, value], ...]]. */
+/* Pages of records: [end, is_snapshot, [[offset, key, value], ...]]. */
 #include "sl_gossip.h"
 
 #include <msgpack.h>
 
 static const char step[] = "page.decode";
 
-#define Sl_PAGE_FIELDS 2
+#define Sl_PAGE_FIELDS 3
 #define Sl_RECORD_FIELDS 3
 
 struct sl_page_reader {
@@ -36,6 +36,12 @@
     msgpack_packer_init(&packer, out, write_bytes);
     msgpack_pack_array(&packer, Sl_PAGE_FIELDS);
     msgpack_pack_uint64(&packer, page->end);
+    if (page->is_snapshot) {
+        msgpack_pack_true(&packer);
+    }
+    else {
+        msgpack_pack_false(&packer);
+    }
     msgpack_pack_array(&packer, page->count);
     for (size_t i = 0; i < page->count; i++) {
         msgpack_pack_array(&packer, Sl_RECORD_FIELDS);
@@ -80,10 +86,12 @@
     const msgpack_object *top = &reader->unpacked.data;
     if (!is_array_of(top, Sl_PAGE_FIELDS) ||
         top->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        top->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY) {
+        top->via.array.ptr[1].type != MSGPACK_OBJECT_BOOLEAN ||
+        top->via.array.ptr[2].type != MSGPACK_OBJECT_ARRAY) {
         return false;
     }
-    const msgpack_object_array *list = &top->via.array.ptr[1].via.array;
+    const msgpack_object_array *list = &top->via.array.ptr[2].via.array;
+    page->is_snapshot = top->via.array.ptr[1].via.boolean;
     page->end = top->via.array.ptr[0].via.u64;
     for (uint32_t i = 0; i < list->size; i++) {
         struct sl_page_record record;
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -191,15 +191,6 @@
     }
 }
 
-static void
-free_kept(gpointer data)
-{
-    struct sl_kept_record *kept = data;
-    g_free(kept->key);
-    g_free(kept->value);
-    g_free(kept);
-}
-
 void
 SlFeeds_Free(struct sl_router *router)
 {
@@ -214,8 +205,7 @@
 SlFeeds_Start(struct sl_router *router)
 {
     for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
-        router->feeds[feed].kept =
-            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kept);
+        router->feeds[feed].kept = SlKept_New();
         if (rules[feed].follow) {
             read_feed(router, (enum sl_feed)feed);
         }
@@ -330,34 +320,11 @@
     }
 }
 
-/* Keeps the record for peers; false when a newer one of its key is known. */
-static bool
-keep_record(struct sl_router *router, enum sl_feed feed,
-            const struct sl_record *record)
-{
-    struct sl_feed_state *state = &router->feeds[feed];
-    char *key = g_strndup(record->key.ptr, record->key.len);
-    struct sl_kept_record *kept = g_hash_table_lookup(state->kept, key);
-    if (kept != NULL && kept->offset >= record->offset) {
-        g_free(key);
-        return false;
-    }
-    kept = g_new0(struct sl_kept_record, 1);
-    kept->offset = record->offset;
-    kept->key = key;
-    kept->value_len = record->dropped ? 0 : record->value.len;
-    kept->value = record->dropped
-                      ? NULL
-                      : g_memdup2(record->value.ptr, record->value.len);
-    g_hash_table_replace(state->kept, kept->key, kept);
-    return true;
-}
-
 static void
 take_record(struct sl_router *router, enum sl_feed feed,
             const struct sl_record *record)
 {
-    if (!keep_record(router, feed, record)) {
+    if (!SlKept_Put(router, feed, record)) {
         return;
     }
     switch (record->type) {
@@ -394,20 +361,15 @@
 
 /* What a snapshot does not hold is gone. */
 static void
-drop_unseen(struct sl_router *router, const struct sl_router_event *event)
+drop_missing(struct sl_router *router, const struct sl_router_event *event)
 {
-    if (event->u.feed.feed != Sl_FEED_UPSTREAMS) {
-        return;
-    }
-    GHashTable *seen = g_hash_table_new(SlName_TableHash, SlName_TableEqual);
-    for (size_t i = 0; i < event->u.feed.count; i++) {
-        const struct sl_record *record = &event->u.feed.records[i];
-        if (record->type == Sl_RECORD_UPSTREAM) {
-            g_hash_table_add(seen, (gpointer)&record->u.upstream.id);
-        }
+    enum sl_feed feed = event->u.feed.feed;
+    GArray *missing = SlKept_Missing(router, event);
+    for (guint i = 0; i < missing->len; i++) {
+        take_record(router, feed,
+                    &g_array_index(missing, struct sl_record, i));
     }
-    SlUpstreams_Keep(router, seen);
-    g_hash_table_destroy(seen);
+    g_array_free(missing, TRUE);
 }
 
 static void
@@ -416,7 +378,8 @@
     enum sl_feed feed = event->u.feed.feed;
     struct sl_feed_state *state = &router->feeds[feed];
     if (event->u.feed.snapshot) {
-        drop_unseen(router, event);
+        drop_missing(router, event);
+        state->complete_from = event->u.feed.end;
     }
     for (size_t i = 0; i < event->u.feed.count; i++) {
         take_record(router, feed, &event->u.feed.records[i]);
@@ -507,35 +470,6 @@
 
 /* ---- peers ---- */
 
-void
-SlFeeds_OnPull(struct sl_router *router, uint64_t conn, enum sl_feed feed,
-               uint64_t from)
-{
-    const struct sl_feed_state *state = &router->feeds[feed];
-    GArray *records = g_array_new(FALSE, FALSE, sizeof(struct sl_page_record));
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, state->kept);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct sl_kept_record *kept = value;
-        if (kept->offset >= from) {
-            struct sl_page_record record = {
-                .offset = kept->offset,
-                .key = SlStr_FromC(kept->key),
-                .value = {kept->value, kept->value_len},
-            };
-            g_array_append_val(records, record);
-        }
-    }
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_PAGE);
-    effect->u.page.conn = conn;
-    effect->u.page.page.end = state->synced ? state->next : 0;
-    effect->u.page.page.count = records->len;
-    effect->u.page.page.records =
-        (const struct sl_page_record *)(void *)records->data;
-    SlOutbox_Keep(router, g_array_free(records, FALSE));
-}
-
 void
 SlFeeds_OnPulled(struct sl_router *router, const struct sl_router_event *event)
 {
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -219,8 +219,8 @@
         }
         break;
     case Sl_REV_PULL:
-        SlFeeds_OnPull(router, event->u.pull.conn, event->u.pull.feed,
-                       event->u.pull.from);
+        SlKept_OnPull(router, event->u.pull.conn, event->u.pull.feed,
+                      event->u.pull.from);
         break;
     case Sl_REV_PULLED:
         SlFeeds_OnPulled(router, event);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -5,6 +5,7 @@
  * sl_dump.c       state as JSON
  * sl_stall.c      after the process did not run
  * sl_feeds.c      following the store's topics
+ * sl_kept.c       the newest records, for peers
  * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
  * sl_repeats.c    the fleet's budget of repeats
@@ -274,6 +275,7 @@
     char *key;
     char *value; /* NULL: the key was dropped */
     size_t value_len;
+    struct sl_record about; /* its drop, but for key and offset */
 };
 
 struct sl_feed_state {
@@ -283,7 +285,8 @@
     int64_t pull_us;   /* earliest next pull */
     int64_t behind_us; /* since when a peer is known to be ahead; 0: none */
     bool synced;       /* a snapshot was read */
-    bool refreshing;   /* since a stall nothing has told that it is current */
+    uint64_t complete_from; /* drops of keys are known from this offset on */
+    bool refreshing; /* since a stall nothing has told that it is current */
     uint64_t next;
     int64_t retry_us;
     int64_t fail_since_us; /* 0: the last read went well */
@@ -443,8 +446,6 @@
                      const struct sl_registration *reg);
 /* Its entry went. */
 void SlUpstreams_Drop(struct sl_router *router, const struct sl_name *id);
-/* A snapshot that ends at `end` was read: what it did not hold is gone. */
-void SlUpstreams_Keep(struct sl_router *router, GHashTable *seen);
 /* Time passes: entries that lapsed with the store. */
 void SlUpstreams_Expire(struct sl_router *router);
 void SlUpstreams_Free(gpointer upstream);
@@ -813,9 +814,6 @@
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
-/* A peer asks for records. */
-void SlFeeds_OnPull(struct sl_router *router, uint64_t conn, enum sl_feed feed,
-                    uint64_t from);
 /* A peer has answered our pull. */
 void SlFeeds_OnPulled(struct sl_router *router,
                       const struct sl_router_event *event);
@@ -823,4 +821,18 @@
 void SlFeeds_OnDigest(struct sl_router *router,
                       const struct sl_gossip *digest);
 
+/* ---- kept records ---- */
+
+GHashTable *SlKept_New(void);
+/* False when a newer record of its key is kept. */
+bool SlKept_Put(struct sl_router *router, enum sl_feed feed,
+                const struct sl_record *record);
+/* Drops of what is kept and the snapshot in `event` does not hold; the
+ * caller's, with keys that stay the router's. */
+GArray *SlKept_Missing(const struct sl_router *router,
+                       const struct sl_router_event *event);
+/* A peer asks for the records from `from` on. */
+void SlKept_OnPull(struct sl_router *router, uint64_t conn, enum sl_feed feed,
+                   uint64_t from);
+
 #endif
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -161,19 +161,6 @@
     remove_upstream(router, upstream);
 }
 
-void
-SlUpstreams_Keep(struct sl_router *router, GHashTable *seen)
-{
-    GList *ids = g_hash_table_get_keys(router->upstreams);
-    for (const GList *at = ids; at != NULL; at = at->next) {
-        if (!g_hash_table_contains(seen, at->data)) {
-            struct sl_name id = *(const struct sl_name *)at->data;
-            SlUpstreams_Drop(router, &id);
-        }
-    }
-    g_list_free(ids);
-}
-
 void
 SlUpstreams_Expire(struct sl_router *router)
 {
--- a/programs/sassafrasd_router_peers.c
+++ b/programs/sassafrasd_router_peers.c
@@ -37,7 +37,6 @@
 struct sl_pull {
     struct sl_router_peers *peers;
     enum sl_feed feed;
-    uint64_t from;
     uint64_t handle;
     int status;
     struct sl_buf body;
@@ -129,7 +128,7 @@
     event->u.feed.end = page->end;
     event->u.feed.count = page->count;
     event->u.feed.records = records;
-    event->u.feed.snapshot = pull->from == 0;
+    event->u.feed.snapshot = page->is_snapshot;
     SlRouterShell_Dispatch(pull->peers->shell, event);
     for (size_t i = 0; i < page->count; i++) {
         SlPlatform_ClearRecord(&records[i]);
@@ -177,11 +176,10 @@
     struct sl_buf head = {0};
     pull->peers = peers;
     pull->feed = effect->u.pull.feed;
-    pull->from = effect->u.pull.from;
     SlBuf_Printf(&head,
                  "GET %s%s/%" G_GUINT64_FORMAT " HTTP/1.1\r\nHost: %s\r\n",
-                 pull_path, SlFeed_Name(pull->feed), (guint64)pull->from,
-                 effect->u.pull.address.text);
+                 pull_path, SlFeed_Name(pull->feed),
+                 (guint64)effect->u.pull.from, effect->u.pull.address.text);
     struct sl_client_call_options options = {
         .address = SlName_Str(&effect->u.pull.address),
         .peer = effect->u.pull.address.text,
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -122,7 +122,7 @@
         {3, Sl_STR("config"), Sl_STR("{}")},
         {9, Sl_STR("evacuate/x"), Sl_STR("")},
     };
-    struct sl_page page = {10, 2, records};
+    struct sl_page page = {10, true, 2, records};
     struct sl_page back = {};
     struct sl_buf buf = {};
     struct sl_error err;
@@ -135,6 +135,7 @@
     EXPECT_EQ(back.records[1].offset, 9u);
     EXPECT_TRUE(SlStr_Equal(back.records[0].key, Sl_STR("config")));
     EXPECT_EQ(back.records[1].value.len, 0u);
+    EXPECT_TRUE(back.is_snapshot);
     SlPage_Free(reader);
     EXPECT_EQ(SlPage_Decode({buf.ptr, buf.len - 1}, &back, &err), nullptr);
     SlBuf_Free(&buf);
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -16,6 +16,8 @@
 //   drop ID | evacuate DOMAIN | restore DOMAIN
 //   rollout SERVICE VERSION seconds= | status SERVICE VERSION STATE [ramped]
 //   store up | down | silent
+//   asked FEED from=       a peer pulls records
+//   pulled FEED [snapshot] KEY...   a peer hands over the newest of these keys
 //   stall MS               time passes in which the process does not run
 //   request CONN host= path= [key=] [id=] [deadline=MS] [model=] [session=]
 //     [parts=ID:TOKENS,..] [tokens=] [last=]
@@ -208,6 +210,8 @@
                 {"status", &Script::on_status},
                 {"store", &Script::on_store},
                 {"stall", &Script::on_stall},
+                {"asked", &Script::on_asked},
+                {"pulled", &Script::on_pulled},
                 {"request", &Script::on_request},
                 {"gone", &Script::on_gone},
                 {"head", &Script::on_head},
@@ -406,6 +410,47 @@
         world.store_silent = m.words.at(1) == "silent";
     }
 
+    static enum sl_feed
+    feed_of(const std::string &name)
+    {
+        for (int i = 0; i < Sl_FEED_COUNT; i++) {
+            if (name == SlFeed_Name((enum sl_feed)i)) {
+                return (enum sl_feed)i;
+            }
+        }
+        throw std::runtime_error("no feed " + name);
+    }
+
+    void
+    on_asked(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_PULL);
+        event.u.pull.conn = 900;
+        event.u.pull.feed = feed_of(m.words.at(1));
+        event.u.pull.from = (uint64_t)m.number("from");
+        world.reduce(event);
+    }
+
+    // The newest records of the keys that are named.
+    void
+    on_pulled(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_PULLED);
+        enum sl_feed feed = feed_of(m.words.at(1));
+        std::vector<struct sl_record> records;
+        for (const struct sl_record &record : world.topics[feed].from(0)) {
+            if (m.flag(text(record.key))) {
+                records.push_back(record);
+            }
+        }
+        event.u.feed.feed = feed;
+        event.u.feed.snapshot = m.flag("snapshot");
+        event.u.feed.end = world.topics[feed].end();
+        event.u.feed.count = records.size();
+        event.u.feed.records = records.data();
+        world.reduce(event);
+    }
+
     // Time passes in which the process does not run.
     void
     on_stall(const members &m)
@@ -710,6 +755,22 @@
             << (effect.u.gossip.digest->leaving ? " leaving" : "") << "\n";
     }
 
+    // Keys by name; those that were dropped with a minus.
+    static std::string
+    keys_of(const struct sl_page &page)
+    {
+        std::set<std::string> keys;
+        std::string out;
+        for (size_t i = 0; i < page.count; i++) {
+            keys.insert(" " + text(page.records[i].key) +
+                        (page.records[i].value.len == 0 ? "-" : ""));
+        }
+        for (const std::string &key : keys) {
+            out += key;
+        }
+        return out;
+    }
+
     void
     print(const struct sl_router_effect &effect)
     {
@@ -750,7 +811,8 @@
         case Sl_RFX_PAGE:
             line() << "page " << effect.u.page.conn
                    << " end=" << effect.u.page.page.end
-                   << " records=" << effect.u.page.page.count << "\n";
+                   << (effect.u.page.page.is_snapshot ? " snapshot" : "")
+                   << keys_of(effect.u.page.page) << "\n";
             break;
         case Sl_RFX_LOG:
             print_log(effect);
