Cascade: the less time is left, the less sure a small model has to be

Ruled out: calls that were repeated for silence (64 in the worst second), and placement (busiest to mean 1.20).

Change: a doubtful answer is asked anew only in proportion to the time that would be left until the objective when the larger model's answer begins.

Also: dead constants of sl_calls.c go.

--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -125,7 +125,7 @@
     return SlStr_Equal(flight->ask.model, Sl_STR("*")) && is_success(head) &&
            flight->state != Sl_FLIGHT_PASSING &&
            flight->model + 1 < flight->route->model_count &&
-           !SlModels_Accepts(flight, head->confidence) &&
+           !SlModels_Accepts(router, flight, head->confidence) &&
            flight->runs + 1 < flight->route->max_attempts &&
            SlRepeats_Take(router, &flight->service->name, Sl_REPEAT_DOUBT);
 }
--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -4,13 +4,6 @@
 /* A connection that is not made by then is not made at all: a handshake takes
  * a few milliseconds, a lost opening packet is sent again after a second. */
 #define Sl_CONNECT_TIMEOUT_US (400 * Sl_US_PER_MS)
-/* Whole answers are kept until they have ended; larger ones are an error. */
-#define Sl_MAX_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
-
-/* Answers of smaller models are passed on from this confidence on; chosen by
- * the table in docs/design/cascade-by-confidence.md. */
-#define Sl_ACCEPT_CONFIDENCE 65
-
 /* ---- calls ---- */
 
 /* The call, and what told its upstream from the next best. */
--- a/lib/router/sl_models.c
+++ b/lib/router/sl_models.c
@@ -2,7 +2,10 @@
  * Which of a route's models answers: the smallest first, and a larger one
  * when its confidence in the answer is low. Answers requests of unlike
  * difficulty, of which small models answer most, and load: the largest model
- * reads a prompt several times as long as the others.
+ * reads a prompt several times as long as the others. The less time is left
+ * for its answer, the less sure the smaller model has to be: an upstream that
+ * is behind with prompts does not get further behind with answers that would
+ * come late.
  *
  * How sure a larger model will be is learned from pairs of answers to the same
  * request, by steps of the smaller one's confidence. The next model is the
@@ -11,11 +14,14 @@
 #include "sl_router_internal.h"
 
 /* An answer is passed on from this confidence on; see the table in
- * docs/design/cascade-by-confidence.md. */
+ * docs/design/router-choices.md. */
 #define Sl_ACCEPT_CONFIDENCE 55
 /* A second answer is passed on from here: a third run costs more than the
  * doubt. */
 #define Sl_ACCEPT_SECOND 40
+/* With this part of the latency objective left, an answer must be as sure as
+ * that; with less, in proportion less. */
+#define Sl_FULL_SLACK 0.3
 /* Until it is learned, the next model is this much surer. */
 #define Sl_FIRST_GAIN 10.0
 /* Weight of one new pair. */
@@ -53,14 +59,6 @@
                (size_t)Sl_CONFIDENCE_STEPS - 1);
 }
 
-bool
-SlModels_Accepts(const struct sl_flight *flight, int confidence)
-{
-    bool is_first = flight->doubted_confidence < 0;
-    return confidence < 0 || /* it says nothing */
-           confidence >= (is_first ? Sl_ACCEPT_CONFIDENCE : Sl_ACCEPT_SECOND);
-}
-
 size_t
 SlModels_Next(struct sl_router *router, const struct sl_flight *flight,
               int confidence)
@@ -81,6 +79,43 @@
     return last;
 }
 
+/* Part of the route's objective that would be left when an answer of the model
+ * begins; negative when it would come late. */
+static double
+slack_of(struct sl_router *router, const struct sl_flight *flight,
+         size_t model)
+{
+    int64_t target_us = flight->route->target_us;
+    struct sl_flight next = *flight;
+    next.model = model;
+    next.exchange.upstream = NULL; /* it may be asked again */
+    struct sl_choice choice = SlPlacement_Choose(router, &next);
+    if (target_us <= 0) {
+        return 1;
+    }
+    if (choice.upstream == NULL) {
+        return 0;
+    }
+    int64_t begins_us = router->now_us + choice.first_us;
+    return (double)(flight->arrived_us + target_us - begins_us) /
+           (double)target_us;
+}
+
+bool
+SlModels_Accepts(struct sl_router *router, const struct sl_flight *flight,
+                 int confidence)
+{
+    bool is_first = flight->doubted_confidence < 0;
+    double wanted = is_first ? Sl_ACCEPT_CONFIDENCE : Sl_ACCEPT_SECOND;
+    if (confidence < 0 || /* it says nothing */
+        confidence >= wanted) {
+        return true;
+    }
+    size_t next = SlModels_Next(router, flight, confidence);
+    double part = slack_of(router, flight, next) / Sl_FULL_SLACK;
+    return confidence >= wanted * CLAMP(part, 0, 1);
+}
+
 void
 SlModels_Learn(struct sl_router *router, const struct sl_flight *flight,
                int confidence)
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -116,8 +116,32 @@
     return at;
 }
 
-/* Guess of the time to the first event, with what else the choice costs
- * expressed as time. */
+static int64_t
+uncached_of(const struct sl_flight *flight, const struct sl_upstream *upstream)
+{
+    return flight->service->is_engine ? SlUpstreams_Uncached(flight, upstream)
+                                      : 0;
+}
+
+/* Guess of the time to the first event; prompts are read between the tokens of
+ * other streams. */
+static int64_t
+first_event_us(const struct sl_router *router, const struct sl_flight *flight,
+               const struct sl_upstream *upstream)
+{
+    int64_t load = SlUpstreams_Load(router, upstream);
+    if (!flight->service->is_engine) {
+        return Sl_FULL_LOAD_US * load / slots_of(upstream);
+    }
+    struct sl_name model = {0};
+    (void)SlName_Set(&model, SlFlight_Model(flight));
+    int64_t read_us =
+        SlPace_Expect(router, &model, uncached_of(flight, upstream));
+    return SlUpstreams_Unread(router, upstream) + read_us +
+           (int64_t)(Sl_READ_BESIDE * (double)(read_us * load));
+}
+
+/* That time, with what else the choice costs expressed as time. */
 static int64_t
 cost_of(const struct sl_router *router, const struct sl_flight *flight,
         const struct sl_upstream *upstream)
@@ -125,20 +149,10 @@
     const struct sl_route *route = flight->route;
     int64_t target =
         route->target_us > 0 ? route->target_us : Sl_DEFAULT_TARGET_US;
-    int64_t load = SlUpstreams_Load(router, upstream);
-    int64_t cost = 0;
-    if (!flight->service->is_engine) {
-        cost += Sl_FULL_LOAD_US * load / slots_of(upstream);
-    }
-    else {
-        struct sl_name model = {0};
-        int64_t uncached = SlUpstreams_Uncached(flight, upstream);
-        (void)SlName_Set(&model, SlFlight_Model(flight));
-        int64_t read_us = SlPace_Expect(router, &model, uncached);
-        cost += SlUpstreams_Unread(router, upstream) + read_us +
-                Sl_READ_AGAIN_US_PER_TOKEN * uncached +
-                Sl_STREAM_BESIDE_US * load +
-                (int64_t)(Sl_READ_BESIDE * (double)(read_us * load));
+    int64_t cost = first_event_us(router, flight, upstream);
+    if (flight->service->is_engine) {
+        cost += Sl_READ_AGAIN_US_PER_TOKEN * uncached_of(flight, upstream) +
+                Sl_STREAM_BESIDE_US * SlUpstreams_Load(router, upstream);
     }
     if (!SlName_Equal(&upstream->reg.domain, &router->options.domain)) {
         cost += (int64_t)(Sl_OTHER_DOMAIN_SHARE * (double)target);
@@ -194,5 +208,8 @@
         }
         weigh(&choice, upstream, cost_of(router, flight, upstream));
     }
+    if (choice.upstream != NULL) {
+        choice.first_us = first_event_us(router, flight, choice.upstream);
+    }
     return choice;
 }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -657,6 +657,7 @@
 struct sl_choice {
     struct sl_upstream *upstream; /* NULL: none can run the flight now */
     int64_t cost_us;
+    int64_t first_us;                 /* time to the first event alone */
     const struct sl_upstream *second; /* the next best; NULL: none */
     int64_t second_cost_us;
     unsigned serving; /* upstreams that serve it, */
@@ -712,7 +713,8 @@
 
 struct sl_gain *SlModels_NewGain(void);
 /* Is an answer of this confidence (-1: none told) passed on? */
-bool SlModels_Accepts(const struct sl_flight *flight, int confidence);
+bool SlModels_Accepts(struct sl_router *router, const struct sl_flight *flight,
+                      int confidence);
 /* The model to ask after an answer that was not. */
 size_t SlModels_Next(struct sl_router *router, const struct sl_flight *flight,
                      int confidence);
--- a/tests/unit/router_fleet_world.h
+++ b/tests/unit/router_fleet_world.h
@@ -13,6 +13,7 @@
     uint64_t token;
     std::string request;
     std::string upstream;
+    std::string model;
     int64_t at_us;
 };
 
@@ -20,6 +21,7 @@
 struct FleetAnswer {
     int64_t after_us = 0;
     int status = 200;
+    int confidence = -1;
     bool breaks_off = false; // the connection ends without an answer
 };
 
@@ -81,9 +83,18 @@
         return worlds.front()->topics[feed].end();
     }
 
+    // Connection of the next request.
+    uint64_t
+    next_conn() const
+    {
+        return last_conn + 1;
+    }
+
+    // A caller's request; its prompt shares nothing with others.
     void
     ask(size_t router, const std::string &path, const std::string &session,
-        int64_t deadline_ms)
+        int64_t deadline_ms, const std::string &model = "m",
+        int64_t prompt_tokens = 0)
     {
         std::string id = "r" + std::to_string(++last_conn);
         struct sl_router_event event =
@@ -94,10 +105,13 @@
         ask.method = Sl_STR("POST");
         ask.target = view(path);
         ask.host = Sl_STR("h");
-        ask.model = Sl_STR("m");
+        ask.model = view(model);
         ask.session = view(session);
         ask.deadline_us = deadline_ms * Sl_US_PER_MS;
         ask.last_event = -1;
+        ask.prompt_tokens = prompt_tokens;
+        ask.part_count = prompt_tokens > 0 ? 1 : 0;
+        ask.parts[0] = {last_conn, prompt_tokens};
         worlds[router]->reduce(event);
     }
 
@@ -165,8 +179,12 @@
         switch (effect.type) {
         case Sl_RFX_CALL: {
             const struct sl_fx_upstream_call &call = effect.u.call;
-            FleetCall made = {router, call.token, text(call.request_id),
-                              text(SlName_Str(&call.upstream)), now_us};
+            FleetCall made = {router,
+                              call.token,
+                              text(call.request_id),
+                              text(SlName_Str(&call.upstream)),
+                              text(call.model),
+                              now_us};
             FleetAnswer answer = on_call(made);
             answers.insert({now_us + answer.after_us, {made, answer}});
             break;
@@ -285,7 +303,7 @@
                 struct sl_answer_head head = {};
                 head.status = due.answer.status;
                 head.is_stamped = true;
-                head.confidence = -1;
+                head.confidence = due.answer.confidence;
                 head.cold_us = -1;
                 struct sl_router_event event =
                     world.event_of(Sl_REV_ANSWER_HEAD);
@@ -325,10 +343,12 @@
     return record;
 }
 
-// One route to the service, for requests that may run more than once.
+// One route to the service, for requests that may run more than once. With
+// models, smallest first, the service is one of engines.
 inline struct sl_record
 routing_record(const std::string &service, const std::string &prefix,
-               int64_t max_attempts)
+               int64_t max_attempts,
+               const std::vector<std::string> &models = {})
 {
     struct sl_record record = {};
     struct sl_error err;
@@ -336,8 +356,13 @@
     record.u.routing = SlRouting_New(1);
     struct sl_route_service added = {};
     added.name = SlName_Of(service.c_str());
+    added.is_engine = !models.empty();
+    added.slots = 64;
     SlRouting_AddService(record.u.routing, &added, &err);
     struct sl_route route = {};
+    for (const std::string &model : models) {
+        route.models[route.model_count++] = SlName_Of(model.c_str());
+    }
     route.name = SlName_Of("route");
     route.host = SlName_Of("h");
     route.prefix = SlName_Of(prefix.c_str());
