--- a/lib/router/sl_exposure.c
+++ b/lib/router/sl_exposure.c
@@ -13,7 +13,7 @@
 /* Part of the bound that the canary share takes. More finds a bad version
  * sooner; less leaves the last streams at the versions to be left more time
  * to end. */
-#define Sl_CANARY_OF_EXPOSURE 0.3
+#define Sl_CANARY_OF_EXPOSURE 0.55
 
 double
 SlExposure_CanaryShare(const struct sl_bounds *bounds)
