Silent routers keep their part of what the fleet shares

Cause: a peer that is silent for 2.5 s counted as dead; a router that is cut off, but reaches upstreams, took itself for the whole fleet, and the others shared out its part: up to 1.5 times the budget of repeats (154 of 100), up to twice the rate of a cold upstream (120 of 95 allowed in a second).

Ruled out: the window itself (holds at 1 to 100 routers without a cut).

Change: allowances are split among the peers that were heard in the last minute and have not said that they leave. All else goes by who lives.

--- a/lib/router/sl_cold.c
+++ b/lib/router/sl_cold.c
@@ -4,7 +4,8 @@
  * together must stay within the rate that the upstream bears, and none of
  * them asks another.
  *
- * The allowance is split evenly among the routers that are believed to live.
+ * The allowance is split evenly among the routers that are known, silent ones
+ * too: a router that is cut off from the others still reaches upstreams.
  * Where that gives less than one request a second to each, only as many
  * routers as there are requests a second take part, chosen by hash of the
  * upstream; so no second holds one request of each of a large fleet. A pause
@@ -56,7 +57,7 @@
     }
     int64_t gap =
         SlCold_GapUs(&router->options.bounds, service->cold_per_s,
-                     SlPeers_FleetSize(router),
+                     SlPeers_SharerCount(router),
                      SlPeers_Rank(router, SlName_Str(&upstream->reg.id)));
     if (gap == Sl_NEVER_US) {
         return upstream->cold_until_us;
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -11,6 +11,8 @@
 #define Sl_FULL_BEAT_PEERS 32
 /* Beats without a digest after which a peer is taken for dead. */
 #define Sl_SILENT_BEATS 5
+/* A silent peer may live behind a cut: it keeps its part of what the fleet
+ * shares for so long. */
 #define Sl_FORGET_US (60 * Sl_US_PER_S)
 
 /* ---- who lives ---- */
@@ -44,6 +46,21 @@
     return live;
 }
 
+size_t
+SlPeers_SharerCount(const struct sl_router *router)
+{
+    size_t known = 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        bool was_heard = peer->digest.boot != 0 && !peer->digest.leaving;
+        known += was_heard || SlPeers_IsLive(router, peer) ? 1 : 0;
+    }
+    return known;
+}
+
 static size_t
 rank_of(const struct sl_router *router, struct sl_str key, bool in_domain)
 {
--- a/lib/router/sl_repeats.c
+++ b/lib/router/sl_repeats.c
@@ -3,7 +3,8 @@
  * failures that would otherwise be multiplied by retries: in a sliding window
  * all routers together may send a service a share of its requests a second
  * time, and a number more. A router spends the share of its own requests, and
- * an even part of the number among the routers that are believed to live.
+ * an even part of the number among the routers that are known: who has fallen
+ * silent may be cut off, and spends its part.
  */
 #include "sl_router_internal.h"
 
@@ -80,9 +81,9 @@
     double requests;
     double repeats;
     sum_window(window_of(router, service), &requests, &repeats);
-    double allowed =
-        bounds->retry_ratio * requests + Sl_EXTRA_USED * bounds->retry_extra /
-                                             (double)SlPeers_FleetSize(router);
+    double allowed = bounds->retry_ratio * requests +
+                     Sl_EXTRA_USED * bounds->retry_extra /
+                         (double)SlPeers_SharerCount(router);
     if (reason == Sl_REPEAT_DOUBT) {
         allowed *= Sl_DOUBT_PART;
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -543,7 +543,11 @@
 bool SlPeers_Take(struct sl_router *router, const struct sl_gossip *digest);
 /* Routers that are believed to live, this one included. */
 size_t SlPeers_FleetSize(const struct sl_router *router);
-/* This router's place among those, by `key`: 0 is the first to act. */
+/* Routers among which the fleet's allowances are split: also those that have
+ * fallen silent lately, and may be cut off from this one alone. */
+size_t SlPeers_SharerCount(const struct sl_router *router);
+/* This router's place among those that live, by `key`: 0 is the first to
+ * act. */
 size_t SlPeers_Rank(const struct sl_router *router, struct sl_str key);
 /* The same among those of the own failure domain. */
 size_t SlPeers_DomainRank(const struct sl_router *router, struct sl_str key);
--- a/tests/unit/router_fleet_world.h
+++ b/tests/unit/router_fleet_world.h
@@ -32,6 +32,10 @@
 
     std::function<FleetAnswer(const FleetCall &)> on_call;
     std::function<void(const struct sl_record &)> on_status;
+    // Do digests of one router reach another?
+    std::function<bool(size_t, size_t)> hears = [](size_t, size_t) {
+        return true;
+    };
     std::function<void(uint64_t, int)> on_reply;
 
     void
@@ -146,6 +150,7 @@
         struct sl_record record;
     };
     struct pending_digest {
+        size_t router;
         std::string address;
         std::shared_ptr<struct sl_gossip> digest;
     };
@@ -212,7 +217,7 @@
         case Sl_RFX_GOSSIP:
             for (size_t i = 0; i < effect.u.gossip.count; i++) {
                 digests.push_back(
-                    {text(SlName_Str(effect.u.gossip.addresses[i])),
+                    {router, text(SlName_Str(effect.u.gossip.addresses[i])),
                      std::make_shared<struct sl_gossip>(
                          *effect.u.gossip.digest)});
             }
@@ -262,7 +267,8 @@
         due.swap(digests);
         for (const pending_digest &sent : due) {
             for (size_t i = 0; i < worlds.size(); i++) {
-                if (sent.address == name_of(i) + ":7340") {
+                if (sent.address == name_of(i) + ":7340" &&
+                    hears(sent.router, i)) {
                     struct sl_router_event event =
                         worlds[i]->event_of(Sl_REV_GOSSIP);
                     event.u.gossip = sent.digest.get();
@@ -348,7 +354,8 @@
 inline struct sl_record
 routing_record(const std::string &service, const std::string &prefix,
                int64_t max_attempts,
-               const std::vector<std::string> &models = {})
+               const std::vector<std::string> &models = {},
+               double cold_per_s = 0)
 {
     struct sl_record record = {};
     struct sl_error err;
@@ -358,6 +365,8 @@
     added.name = SlName_Of(service.c_str());
     added.is_engine = !models.empty();
     added.slots = 64;
+    added.cold_per_s = cold_per_s;
+    added.cold_start_us = 20 * Sl_US_PER_S;
     SlRouting_AddService(record.u.routing, &added, &err);
     struct sl_route route = {};
     for (const std::string &model : models) {
