Roll-outs: verdicts that were told before the order was known count

Ruled out: evidence (four of nine answers had failed, two routers had the verdict), the status's condition (the first writer wins, as it should).

Change: an order that becomes known takes what the newest digests say of it; a router completes only after two beats; past its time an order is not hurried. Which sessions go first has a file of its own.

--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -41,9 +41,6 @@
 /* A router that learns of a roll-out so soon after its start was not there
  * when it began. */
 #define Sl_STARTING_US (2 * Sl_US_PER_S)
-/* Sessions that are remembered; the oldest go first. */
-#define Sl_MAX_SESSIONS 20000
-
 /* ---- state ---- */
 
 struct sl_rollout *
@@ -111,26 +108,7 @@
                rollout->order.duration_us / Sl_US_PER_MS);
 }
 
-/* ---- sessions ---- */
-
-static uint32_t
-session_key(const struct sl_flight *flight)
-{
-    return (uint32_t)flight->session;
-}
-
-static double
-bucket_of(const struct sl_rollout *rollout, uint32_t key)
-{
-    uint64_t hash = SlHash_Mix((uint64_t)key << 32 ^ rollout->offset);
-    return (double)(hash >> 11) * 0x1.0p-53;
-}
-
-static double
-canary_share(const struct sl_router *router)
-{
-    return SlExposure_CanaryShare(&router->options.bounds);
-}
+/* ---- share ---- */
 
 /* How long the share grows, from a ramp that begins or began `at_us`. */
 static int64_t
@@ -144,7 +122,7 @@
 SlRollouts_Share(const struct sl_router *router,
                  const struct sl_rollout *rollout)
 {
-    double canary = canary_share(router);
+    double canary = SlExposure_CanaryShare(&router->options.bounds);
     if (rollout->suspect || SlRollouts_ElapsedUs(router, rollout) <
                                 router->options.bounds.session_us) {
         return 0;
@@ -157,48 +135,6 @@
     return CLAMP(grown, canary, 1.0);
 }
 
-static bool
-was_at_base(const struct sl_router *router, const struct sl_rollout *rollout,
-            uint32_t key)
-{
-    const int64_t *at =
-        g_hash_table_lookup(rollout->at_base, GUINT_TO_POINTER(key));
-    return at != NULL && router->now_us - *at <
-                             router->options.bounds.session_us + Sl_SKEW_US;
-}
-
-static gboolean
-is_old(gpointer key, gpointer value, gpointer data)
-{
-    const struct sl_router *router = data;
-    (void)key;
-    return router->now_us - *(const int64_t *)value >
-           2 * router->options.bounds.session_us;
-}
-
-/* A session was at a version to be left; only those that the canary share
- * could take matter. */
-static void
-note_at_base(struct sl_router *router, struct sl_rollout *rollout,
-             uint32_t key, bool tell)
-{
-    if (key == 0 || bucket_of(rollout, key) >= canary_share(router)) {
-        return;
-    }
-    if (g_hash_table_size(rollout->at_base) > Sl_MAX_SESSIONS) {
-        g_hash_table_foreach_remove(rollout->at_base, is_old, router);
-    }
-    int64_t *at = g_hash_table_lookup(rollout->at_base, GUINT_TO_POINTER(key));
-    if (at == NULL) {
-        at = g_new0(int64_t, 1);
-        g_hash_table_insert(rollout->at_base, GUINT_TO_POINTER(key), at);
-    }
-    *at = router->now_us;
-    if (tell && rollout->told->len < Sl_GOSSIP_MAX_SESSIONS) {
-        g_array_append_val(rollout->told, key);
-    }
-}
-
 static size_t
 ready_targets(const struct sl_router *router, const struct sl_rollout *rollout,
               size_t *base)
@@ -244,13 +180,14 @@
         return Sl_VERSION_TARGET;
     }
     uint32_t key = flight->session != 0
-                       ? session_key(flight)
+                       ? SlRolloutSessions_Key(flight)
                        : (uint32_t)SlHash_Bytes(0, flight->ask.id);
-    if (bucket_of(rollout, key) >= SlRollouts_Share(router, rollout)) {
+    if (SlRolloutSessions_Bucket(rollout, key) >=
+        SlRollouts_Share(router, rollout)) {
         return Sl_VERSION_BASE;
     }
     if (rollout->ramped_us == 0 && flight->session != 0 &&
-        was_at_base(router, rollout, key)) {
+        SlRolloutSessions_WasAtBase(router, rollout, key)) {
         return Sl_VERSION_BASE;
     }
     return Sl_VERSION_TARGET;
@@ -262,7 +199,8 @@
 {
     flight->exchange.at_base = true;
     rollout->base_in_flight++;
-    note_at_base(router, rollout, session_key(flight), true);
+    SlRolloutSessions_Note(router, rollout, SlRolloutSessions_Key(flight),
+                           true);
 }
 
 void
@@ -294,7 +232,8 @@
     }
     flight->exchange.at_base = false;
     rollout->base_in_flight--;
-    note_at_base(router, rollout, session_key(flight), true);
+    SlRolloutSessions_Note(router, rollout, SlRolloutSessions_Key(flight),
+                           true);
 }
 
 /* ---- evidence ---- */
@@ -456,6 +395,13 @@
     }
 }
 
+/* Has it followed the roll-out for long enough to have heard each peer? */
+static bool
+has_heard_all(const struct sl_router *router, const struct sl_rollout *rollout)
+{
+    return router->now_us - rollout->counted_us >= 2 * SlPeers_BeatUs(router);
+}
+
 static bool
 is_watched(const struct sl_router *router, const struct sl_rollout *rollout)
 {
@@ -476,14 +422,19 @@
 static bool
 may_complete(const struct sl_router *router, const struct sl_rollout *rollout)
 {
-    if (rollout->full_us == 0 || !is_watched(router, rollout)) {
+    if (rollout->full_us == 0 || !has_heard_all(router, rollout) ||
+        !is_watched(router, rollout)) {
         return false;
     }
     int64_t watched = router->now_us - rollout->full_us;
-    bool settled = watched >= Sl_SETTLE_US + Sl_SKEW_US &&
-                   fleet_base_in_flight(router, rollout) == 0;
-    return settled || SlRollouts_ElapsedUs(router, rollout) >=
-                          rollout->order.duration_us - Sl_RESERVE_US;
+    if (watched >= Sl_SETTLE_US + Sl_SKEW_US &&
+        fleet_base_in_flight(router, rollout) == 0) {
+        return true;
+    }
+    /* There is no hurry when its time is over. */
+    int64_t left =
+        rollout->order.duration_us - SlRollouts_ElapsedUs(router, rollout);
+    return left > 0 && left <= Sl_RESERVE_US;
 }
 
 static enum sl_rollout_state
@@ -592,6 +543,58 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+/* A peer has found the target bad. A router that has just started holds no
+ * evidence of its own, and that of its peers has faded since they left the
+ * target. */
+static void
+take_verdict(struct sl_router *router, struct sl_rollout *rollout,
+             const struct sl_name *teller)
+{
+    suspect(router, rollout);
+    SlLine_Name(router, "told_by", teller);
+    SlLine_End(router, Sl_LOG_WARN);
+}
+
+void
+SlRollouts_OnGossip(struct sl_router *router, const struct sl_name *teller,
+                    const struct sl_gossip_rollout *digest)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        if (rollout->offset != digest->order) {
+            continue;
+        }
+        int64_t began = router->now_us - digest->elapsed_ms * Sl_US_PER_MS;
+        rollout->began_us = MIN(rollout->began_us, began);
+        if (digest->is_suspect && !rollout->suspect && !is_over(rollout)) {
+            take_verdict(router, rollout, teller);
+        }
+        for (size_t i = 0; i < digest->session_count; i++) {
+            SlRolloutSessions_Note(router, rollout, digest->sessions[i],
+                                   false);
+        }
+    }
+}
+
+/* Peers may have told of the order before it was known here. */
+static void
+take_digests(struct sl_router *router, const struct sl_rollout *rollout)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        const struct sl_gossip_rollout *told = last_told_by(peer, rollout);
+        if (told != NULL) {
+            SlRollouts_OnGossip(router, &peer->vm, told);
+        }
+    }
+}
+
 void
 SlRollouts_OnOrder(struct sl_router *router, const struct sl_record *record)
 {
@@ -624,6 +627,7 @@
     if (status != NULL) {
         take_status(router, status);
     }
+    take_digests(router, rollout);
     SlRollouts_Run(router);
 }
 
@@ -639,62 +643,6 @@
     }
 }
 
-/* A router that has just started holds no evidence of its own, and that of
- * its peers has faded since they left the target. */
-static void
-take_verdict(struct sl_router *router, struct sl_rollout *rollout,
-             const struct sl_name *teller)
-{
-    if (!rollout->suspect && !is_over(rollout)) {
-        suspect(router, rollout);
-        SlLine_Name(router, "told_by", teller);
-        SlLine_End(router, Sl_LOG_WARN);
-    }
-}
-
-void
-SlRollouts_OnGossip(struct sl_router *router, const struct sl_name *teller,
-                    const struct sl_gossip_rollout *digest)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, router->rollouts);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct sl_rollout *rollout = value;
-        if (rollout->offset != digest->order) {
-            continue;
-        }
-        int64_t began = router->now_us - digest->elapsed_ms * Sl_US_PER_MS;
-        rollout->began_us = MIN(rollout->began_us, began);
-        if (digest->is_suspect) {
-            take_verdict(router, rollout, teller);
-        }
-        for (size_t i = 0; i < digest->session_count; i++) {
-            note_at_base(router, rollout, digest->sessions[i], false);
-        }
-    }
-}
-
-/* Sessions that are at a version to be left for longer than a digest. */
-static void
-tell_flights(const struct sl_router *router, const struct sl_rollout *rollout,
-             struct sl_gossip_rollout *told)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, router->flights);
-    while (g_hash_table_iter_next(&iter, NULL, &value) &&
-           told->session_count < Sl_GOSSIP_MAX_SESSIONS) {
-        const struct sl_flight *flight = value;
-        uint32_t key = session_key(flight);
-        if (flight->exchange.at_base && key != 0 &&
-            SlName_Equal(&flight->service->name, &rollout->order.service) &&
-            bucket_of(rollout, key) < canary_share(router)) {
-            told->sessions[told->session_count++] = key;
-        }
-    }
-}
-
 void
 SlRollouts_Tell(struct sl_router *router, struct sl_gossip *digest)
 {
@@ -719,13 +667,7 @@
         told->counted_ms =
             (uint32_t)((router->now_us - rollout->counted_us) / Sl_US_PER_MS);
         SlTallies_Tell(&rollout->tallies, told, router->now_us);
-        tell_flights(router, rollout, told);
-        for (size_t i = 0; i < rollout->told->len &&
-                           told->session_count < Sl_GOSSIP_MAX_SESSIONS;
-             i++) {
-            told->sessions[told->session_count++] =
-                g_array_index(rollout->told, uint32_t, i);
-        }
+        SlRolloutSessions_Tell(router, rollout, told);
     }
 }
 
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -17,6 +17,7 @@
  * sl_calls.c      sending to upstreams
  * sl_placement.c  which upstream a flight goes to
  * sl_rollouts.c   moving a service's traffic to a version
+ * sl_rollout_sessions.c  which sessions go over first
  * sl_rollout_status.c  the answer to a roll-out's order
  * sl_tallies.c    is a version worse than the others
  * sl_exposure.c   how much traffic a roll-out's target may have
@@ -606,6 +607,25 @@
 void SlRollouts_Log(struct sl_router *router, const struct sl_rollout *rollout,
                     const char *event);
 
+/* ---- sessions of roll-outs ---- */
+
+/* 0: none. */
+uint32_t SlRolloutSessions_Key(const struct sl_flight *flight);
+/* Where the session stands among those that go over, 0 to 1. */
+double SlRolloutSessions_Bucket(const struct sl_rollout *rollout,
+                                uint32_t key);
+/* Was it at a version to be left less than a session's time ago? */
+bool SlRolloutSessions_WasAtBase(const struct sl_router *router,
+                                 const struct sl_rollout *rollout,
+                                 uint32_t key);
+/* It is, now; `tell`: peers should know. */
+void SlRolloutSessions_Note(struct sl_router *router,
+                            struct sl_rollout *rollout, uint32_t key,
+                            bool tell);
+void SlRolloutSessions_Tell(const struct sl_router *router,
+                            const struct sl_rollout *rollout,
+                            struct sl_gossip_rollout *told);
+
 /* ---- status of roll-outs ---- */
 
 /* The order should be answered with this state: writes it, when it is this
