Requests of a service that has long lost its upstreams are refused at once

Change: the wait ends 0.4 s after requests first found none, for all; news of an upstream begin it anew.

Test that failed first: script service_gone.

--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -43,6 +43,8 @@
                                             SlName_TableEqual, g_free, g_free);
     router->gains =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    router->gone = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
+                                         g_free, g_free);
     router->repeats = g_hash_table_new_full(SlName_TableHash,
                                             SlName_TableEqual, g_free, g_free);
     router->rollouts = g_hash_table_new_full(
@@ -70,6 +72,7 @@
     g_hash_table_destroy(router->statuses);
     g_hash_table_destroy(router->rollouts);
     g_hash_table_destroy(router->repeats);
+    g_hash_table_destroy(router->gone);
     g_hash_table_destroy(router->gains);
     g_hash_table_destroy(router->runs);
     g_hash_table_destroy(router->answers);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -327,6 +327,8 @@
     GHashTable *runs;      /* service name -> double, length in us, owned */
     GHashTable *answers;   /* route name -> double, us to a head, owned */
     GHashTable *gains;     /* "model model" -> struct sl_gain, owned */
+    GHashTable *gone;      /* service name -> int64_t, since when requests find
+                              no upstream that serves them, owned */
     GHashTable *repeats;   /* service name -> struct sl_repeat_window, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
     GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -118,6 +118,7 @@
     upstream->cold_until_us =
         reg->cold_us > 0 ? router->now_us + reg->cold_us : 0;
     if (appeared) {
+        g_hash_table_remove(router->gone, &reg->service);
         log_upstream(router, upstream, "upstream_up");
     }
     if (drains) {
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -10,9 +10,9 @@
  * nothing else gives a time: another router's work may have ended. */
 #define Sl_LOOK_AGAIN_US (50 * Sl_US_PER_MS)
 
-/* Without any upstream a request waits this long, for news that may be on
- * their way: a registration is a second old when it is read. */
-#define Sl_HOPE_US (400 * Sl_US_PER_MS)
+/* A service that had an upstream so lately may have one again soon, as news of
+ * it may be on their way: its requests wait. */
+#define Sl_GONE_US (400 * Sl_US_PER_MS)
 /* Least and largest time after which a refused caller may come back. */
 #define Sl_LEAST_RETRY_US (100 * Sl_US_PER_MS)
 #define Sl_MOST_RETRY_US (3 * Sl_US_PER_S)
@@ -69,15 +69,29 @@
         SlTimers_Subscribe(router->timers, due, on_look_again, router, 0);
 }
 
-/* Can the flight still be served, when an upstream may take it after
+/* Has the service had no upstream for some time? */
+static bool
+is_gone(struct sl_router *router, const struct sl_name *service)
+{
+    int64_t *since_us = g_hash_table_lookup(router->gone, service);
+    if (since_us == NULL) {
+        since_us = g_new0(int64_t, 1);
+        *since_us = router->now_us;
+        g_hash_table_insert(router->gone, g_memdup2(service, sizeof(*service)),
+                            since_us);
+    }
+    return router->now_us - *since_us >= Sl_GONE_US;
+}
+
+/* Can the flight not be served any more, when an upstream may take it after
  * `wait_us` and `ahead` others for the same service go first? */
 static bool
-is_hopeless(const struct sl_router *router, const struct sl_flight *flight,
+is_hopeless(struct sl_router *router, const struct sl_flight *flight,
             int64_t wait_us, size_t ahead)
 {
     int64_t left_us = flight->deadline_us - router->now_us;
     if (wait_us == Sl_NEVER_US) {
-        return router->now_us - flight->queued_us >= Sl_HOPE_US;
+        return is_gone(router, &flight->service->name);
     }
     int64_t run_us = SlPace_RunUs(router, &flight->service->name);
     return wait_us * (int64_t)(ahead + 1) + run_us / 2 > left_us;
@@ -140,6 +154,9 @@
         gpointer key = (gpointer)flight->service;
         size_t count = GPOINTER_TO_SIZE(g_hash_table_lookup(ahead, key));
         struct sl_choice choice = SlPlacement_Choose(router, flight);
+        if (choice.serving > 0) {
+            g_hash_table_remove(router->gone, &flight->service->name);
+        }
         if (choice.upstream != NULL) {
             SlWaiting_Remove(router, flight);
             SlCalls_Send(router, flight, &choice);
