Limit: an upstream that says it is cold stays at the cold limit

Ruled out: a report that was lost or stale (they came each 500 ms).

Change: what the newest report says is kept; the cold state lasts as long.

Test that failed first: Limit.StaysColdForAsLongAsTheUpstreamSaysSo.

--- a/lib/core/sl_status.c
+++ b/lib/core/sl_status.c
@@ -47,9 +47,10 @@
         return;
     }
     bool restarted = !SlName_Equal(&agent->load.boot, &event->u.load->boot);
-    if (restarted || event->u.load->warm < Sl_WARM_ENOUGH) {
+    if (restarted) {
         SlLimit_OnCold(&agent->limit);
     }
+    SlLimit_OnReport(&agent->limit, event->u.load->warm < Sl_WARM_ENOUGH);
     agent->load = *event->u.load;
     agent->load_us = agent->load_asked_us;
     agent->has_load = true;
--- a/lib/policy/sl_limit.c
+++ b/lib/policy/sl_limit.c
@@ -71,6 +71,9 @@
 static void
 warm_up(struct sl_limit *limit)
 {
+    if (limit->reported_cold) {
+        return;
+    }
     double rounds = (double)limit->good_in_row / cold_bound(limit);
     bool is_near = limit->baseline_answers < Sl_LIMIT_BASELINE_ANSWERS ||
                    limit->recent_us <= Sl_LIMIT_NEAR * limit->baseline_us;
@@ -111,6 +114,15 @@
     limit->current = clamp(limit, limit->current);
 }
 
+void
+SlLimit_OnReport(struct sl_limit *limit, bool is_cold)
+{
+    limit->reported_cold = is_cold;
+    if (is_cold) {
+        SlLimit_OnCold(limit);
+    }
+}
+
 void
 SlLimit_OnDone(struct sl_limit *limit, int64_t took_us, uint64_t in_flight)
 {
--- a/lib/policy/sl_policy.h
+++ b/lib/policy/sl_policy.h
@@ -64,6 +64,7 @@
     double baseline_us; /* smoothed time of a request when warm */
     double recent_us;   /* the same, over the last few requests */
     bool cold;          /* while set, never above the cold limit */
+    bool reported_cold; /* by the newest report; `cold` lasts as long */
     uint64_t baseline_answers;
     uint64_t good_in_row;
     uint64_t refused_in_row;
@@ -73,9 +74,11 @@
 /* New bounds from the configuration; the current limit is kept inside. */
 void SlLimit_Configure(struct sl_limit *limit,
                        const struct sl_limit_options *options);
-/* The upstream restarted or says that it is cold. The cold state ends after
- * enough good completions, or starts anew with each such word. */
+/* The upstream restarted, or behaves as if it had. The cold state ends after
+ * enough good completions, but not while its reports say that it is cold. */
 void SlLimit_OnCold(struct sl_limit *limit);
+/* The upstream reports whether it is cold. */
+void SlLimit_OnReport(struct sl_limit *limit, bool is_cold);
 /* A request finished well in `took_us` with `in_flight` others running. A
  * time far above the warm baseline makes the state cold again. */
 void SlLimit_OnDone(struct sl_limit *limit, int64_t took_us,
--- a/tests/unit/policy_upstream.cc
+++ b/tests/unit/policy_upstream.cc
@@ -156,6 +156,23 @@
     EXPECT_EQ(SlLimit_Current(&limit), 2u);
 }
 
+// Found by the fleet's property, seed 3 run 345: between two reports of a cold
+// upstream eight short requests finished, and it was sent two at once.
+TEST(Limit, StaysColdForAsLongAsTheUpstreamSaysSo)
+{
+    struct sl_limit limit = SlLimit_New(&bounds);
+    SlLimit_OnReport(&limit, true);
+    for (int i = 0; i < 1000; i++) {
+        SlLimit_OnDone(&limit, 100, SlLimit_Current(&limit) - 1);
+        ASSERT_LE(SlLimit_Current(&limit), 2u) << i;
+    }
+    SlLimit_OnReport(&limit, false);
+    for (int i = 0; i < 100; i++) {
+        SlLimit_OnDone(&limit, 100, SlLimit_Current(&limit) - 1);
+    }
+    EXPECT_EQ(SlLimit_Current(&limit), 10u);
+}
+
 TEST(Limit, TakesASlowerTimeAsUsualInTheEnd)
 {
     struct sl_limit limit = SlLimit_New(&bounds);
