Pins: what a home has not answered for is offered again

Ruled out: homes that lost memory (none had restarted), marks (none withdrawn).

Change: a pin that a home has not answered for is offered again at the next use after a second; what the first home holds goes first.

--- a/lib/core/sl_pins.c
+++ b/lib/core/sl_pins.c
@@ -15,6 +15,8 @@
 /* A cached pin is offered to its homes again when one of them has restarted,
  * and at this interval of use, which repairs a home that lost its memory. */
 #define Sl_PIN_REPAIR_US (20 * Sl_US_PER_S)
+/* A pin that a home has not answered for is offered again after this. */
+#define Sl_PIN_AGAIN_US Sl_US_PER_S
 #define Sl_MAX_CACHED_PINS 100000
 
 /* ---- types ---- */
@@ -24,7 +26,8 @@
     struct sl_name version;
     int64_t offered_us;
     uint64_t offset;     /* of the configuration when it was cached */
-    uint64_t offered_to; /* the homes' starts; see hash_homes() */
+    uint64_t offered_to; /* the homes' starts; see hash_homes(). 0: some home
+                            did not answer */
     GList *link;         /* in `order` */
 };
 
@@ -33,6 +36,7 @@
     struct sl_pin_key key;
     bool putting;
     bool cached;          /* the offer was in use here */
+    bool timed_out;       /* some home has not answered what was put */
     struct sl_name offer; /* what is put */
     uint64_t timer;
     uint64_t id;
@@ -102,10 +106,11 @@
 }
 
 static void
-cache_pin(struct sl_core *core, const struct sl_pin_key *key,
+cache_pin(struct sl_core *core, const struct sl_lookup *lookup,
           const struct sl_name *version)
 {
     struct sl_pins *pins = core->entry->pins;
+    const struct sl_pin_key *key = &lookup->key;
     struct sl_pin *pin = g_hash_table_lookup(pins->cache, key);
     struct sl_peer *homes[Sl_PIN_HOMES];
     homes_of(core, key, homes);
@@ -119,7 +124,7 @@
     pin->version = *version;
     pin->offset = SlConfig_Offset(core->config);
     pin->offered_us = core->now_us;
-    pin->offered_to = hash_homes(homes);
+    pin->offered_to = lookup->timed_out ? 0 : hash_homes(homes);
     if (pins->order->length > Sl_MAX_CACHED_PINS) {
         struct sl_pin *oldest = g_queue_pop_head(pins->order);
         g_hash_table_remove(pins->cache, &oldest->key);
@@ -183,7 +188,7 @@
 {
     struct sl_name chosen = *version;
     SlTimers_Cancel(core->timers, lookup->timer);
-    cache_pin(core, &lookup->key, &chosen);
+    cache_pin(core, lookup, &chosen);
     g_hash_table_steal(core->entry->pins->lookups, &lookup->key);
     for (guint i = 0; i < lookup->waiting->len; i++) {
         struct sl_request *request =
@@ -302,6 +307,7 @@
     SlCore_Count(core, "pins.timeout");
     lookup->timer = 0;
     memset(lookup->peer_ids, 0, sizeof(lookup->peer_ids));
+    lookup->timed_out = lookup->putting;
     if (!lookup->putting) {
         lookup->timer = SlCore_After(core, Sl_PIN_TIMEOUT_US, on_timeout, id);
     }
@@ -332,14 +338,16 @@
 }
 
 /* Offers a pin that is in use again. True when a home has changed since the
- * last offer: what the homes hold then goes before the cached version. */
+ * last offer, or has not answered it: what the homes hold then goes before the
+ * cached version. */
 static bool
 repair(struct sl_core *core, struct sl_pin *pin)
 {
     struct sl_peer *homes[Sl_PIN_HOMES];
     homes_of(core, &pin->key, homes);
     if (hash_homes(homes) != pin->offered_to) {
-        return true;
+        return pin->offered_to != 0 ||
+               core->now_us - pin->offered_us >= Sl_PIN_AGAIN_US;
     }
     if (core->now_us - pin->offered_us < Sl_PIN_REPAIR_US) {
         return false;
--- a/tests/props/core_fleet.cc
+++ b/tests/props/core_fleet.cc
@@ -124,6 +124,7 @@
     std::map<int, uint64_t> knows; // process -> boot, entries and homes
     std::set<std::string> before;  // versions since it split
     int returns = 0;               // to one of these that are left
+    bool unasked = false;          // no home could be asked for the first one
 };
 
 class World {
@@ -1349,6 +1350,17 @@
         seen["sessions split"]++;
     }
 
+    bool
+    none_could_be_asked(const std::string &session, int entry) const
+    {
+        for (int home : homes_of(session)) {
+            if (is_quiet(home) && is_quiet(entry)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     void
     check_session(const Submission &submission, const std::string &version)
     {
@@ -1363,12 +1375,21 @@
             else if (!could_know(pin, entry)) {
                 split(pin, version);
             }
+            else if (pin.unasked) {
+                // Another entry may have chosen before, and run nothing: what
+                // the first home holds goes first, once (docs/PROMISES.md).
+                pin.unasked = false;
+                seen["sessions moved to a home's version"]++;
+            }
             else if (pin.returns-- <= 0 || pin.before.count(version) == 0) {
                 violate("session",
                         id + " goes from " + pin.version + " to " + version);
             }
             pin.knows.clear();
         }
+        if (pin.version.empty()) {
+            pin.unasked = none_could_be_asked(submission.session, entry);
+        }
         pin.version = version;
         pin.used_us = now;
         pin.knows[entry] = submission.entry_boot;
