Agents: an order waits until the log has told what it had at the start

Ruled out: the peer's own proof (it is as old as the log's). Change: orders wait for a read of the head that was asked for later than a head may lag, 3 s at most; homes' moves use the same question.

--- a/lib/core/sl_core_internal.h
+++ b/lib/core/sl_core_internal.h
@@ -17,6 +17,8 @@
 /* Age of the last proof of the log's head beyond which a process must have a
  * majority's word to go on; see docs/design/configuration-log.md. */
 #define Sl_FRESHNESS_LIMIT_US (2 * Sl_US_PER_S)
+/* A read of the log may give a head that is older than the read by this. */
+#define Sl_LOG_HEAD_LAG_US (2 * Sl_US_PER_S)
 /* Bound on the drift between two processes' monotonic clocks. */
 #define Sl_CLOCK_DRIFT_RATIO 0.01
 /* Bound on the difference between a caller's wall clock and ours. */
@@ -192,6 +194,8 @@
  * none. It may be in service again by now. */
 uint64_t SlFollow_WithdrawnAt(const struct sl_core *core,
                               const struct sl_name *version);
+/* Has the log told all that it had at `at_us`? Its head may lag. */
+bool SlFollow_KnowsHeadOf(const struct sl_core *core, int64_t at_us);
 /* Age of the last proof of the log's head, or Sl_NEVER_US. */
 int64_t SlFollow_ProofAge(const struct sl_core *core);
 /* May this process act on its configuration now? `err` may be NULL. */
--- a/lib/core/sl_follow.c
+++ b/lib/core/sl_follow.c
@@ -555,6 +555,13 @@
     return offset == NULL ? 0 : *offset;
 }
 
+bool
+SlFollow_KnowsHeadOf(const struct sl_core *core, int64_t at_us)
+{
+    return core->follow.read_head &&
+           core->follow.head_asked_us >= at_us + Sl_LOG_HEAD_LAG_US;
+}
+
 int64_t
 SlFollow_ProofAge(const struct sl_core *core)
 {
--- a/lib/core/sl_moves.c
+++ b/lib/core/sl_moves.c
@@ -23,8 +23,6 @@
 
 #define Sl_MOVES_INTERVAL_US (200 * Sl_US_PER_MS)
 #define Sl_PROBE_TIMEOUT_US (Sl_US_PER_S)
-/* A read of the log may give a head that is older than the read by this. */
-#define Sl_LOG_HEAD_LAG_US (2 * Sl_US_PER_S)
 /* A member that is not reached for so long is moved out. */
 #define Sl_MEMBER_DEAD_US (5 * Sl_US_PER_S)
 /* The wanted members must stay the same for so long before a move. */
@@ -178,13 +176,10 @@
     if (moves->settled) {
         return;
     }
-    bool read =
-        core->follow.read_head &&
-        core->follow.head_asked_us >= moves->started_us + Sl_LOG_HEAD_LAG_US;
-    moves->settled =
-        read || (moves->home.revision != 0 &&
-                 majority_of(core, moves->home.members,
-                             moves->home.member_count, knows_no_later));
+    moves->settled = SlFollow_KnowsHeadOf(core, moves->started_us) ||
+                     (moves->home.revision != 0 &&
+                      majority_of(core, moves->home.members,
+                                  moves->home.member_count, knows_no_later));
 }
 
 /* Former processes of this member are answered no more by a majority, and what
--- a/lib/core/sl_orders.c
+++ b/lib/core/sl_orders.c
@@ -16,9 +16,10 @@
 
 #define Sl_LOAD_SLOT_MS ((int64_t)200)
 #define Sl_RECONCILE_INTERVAL_US (50 * Sl_US_PER_MS)
-/* How long a process that starts waits to hear a peer's offset before it goes
- * by the log alone; see SlFollow_CheckFresh(). */
-#define Sl_START_WAIT_US (Sl_US_PER_S)
+/* How long a process that starts waits for the log to tell it what the log had
+ * when it started; then it goes by what it knows. Beyond the lag of a head and
+ * two polls of the log. */
+#define Sl_START_WAIT_US (Sl_LOG_HEAD_LAG_US + Sl_US_PER_S)
 #define Sl_ORDER_RETRY_US (2 * Sl_US_PER_S)
 
 /* ---- types ---- */
@@ -128,10 +129,11 @@
 }
 
 static bool
-waits_for_peers(const struct sl_core *core)
+waits_for_log(const struct sl_core *core)
 {
-    return !core->follow.level &&
-           core->now_us - core->options.now_us < Sl_START_WAIT_US;
+    int64_t started_us = core->options.now_us;
+    return !SlFollow_KnowsHeadOf(core, started_us) &&
+           core->now_us - started_us < Sl_START_WAIT_US;
 }
 
 void
@@ -140,7 +142,7 @@
     struct sl_orders *orders = core->agent->orders;
     const struct sl_upstream *self = SlAgent_Upstream(core);
     if (self == NULL || orders->outstanding || core->draining ||
-        waits_for_peers(core) || core->now_us < orders->retry_us ||
+        waits_for_log(core) || core->now_us < orders->retry_us ||
         !SlAgent_UpstreamAnswers(core)) {
         return;
     }
--- a/tests/unit/core_script.cc
+++ b/tests/unit/core_script.cc
@@ -6,7 +6,8 @@
 //   role entry [rates] | role agent upstream=U     starts the process
 //   vm NAME role= domain= [upstream=] [leaving=1]   the list of VMs
 //   publish JSON            appends to the configuration stream
-//   log up | down | lost    how reads of the log are answered
+//   log up | down | lost [hides=N]    how reads of the log are answered; the
+//       newest N records are not given yet
 //   words [PEER...]         peers that answer pulls and probes
 //   load [boot=] [warm=] [versions=a,b] [err=]      the upstream's report
 //   show WORD...            effects that are printed though they are routine
@@ -173,6 +174,7 @@
     std::vector<struct sl_vm> vms;
     std::vector<json_t *> records; // offset 1 first
     std::string log = "up";
+    size_t hidden = 0; // newest records that the log does not give yet
     std::set<std::string> shown;
     std::vector<std::string> talking;
     struct sl_load_report load = {};
@@ -318,8 +320,9 @@
         struct sl_log_page page = {1, 1, 0, nullptr};
         std::vector<struct sl_log_record> found;
         if (stream == Sl_STREAM_CONFIG) {
-            page.head = records.size() + 1;
-            for (uint64_t at = from; at <= records.size(); at++) {
+            uint64_t end = records.size() - std::min(records.size(), hidden);
+            page.head = std::max(end + 1, from);
+            for (uint64_t at = from; at <= end; at++) {
                 found.push_back({at, records[at - 1]});
             }
         }
@@ -683,6 +686,7 @@
         }
         else if (word == "log") {
             log = rest[0];
+            hidden = (size_t)line.number("hides");
         }
         else if (word == "words") {
             talking = rest;
