Feeds: a read that was asked anew is left the time to be answered

Cause: a router whose waiting read had missed news began it anew with every digest that told of them. With ten peers in the failure domain digests come faster than the store answers, so no read ever ended: the router went on with old registrations or an old configuration, and called the store 80 times a second. Ruled out: the store (it answered the other feeds), pulls (none was under way), the reader's rank (it was a reader of its domain throughout). Change: a read that was asked after the news were told of is not given up, and does not wait for further news.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -66,6 +66,7 @@
         router, state->synced ? Sl_RFX_READ_ON : Sl_RFX_READ_NEWEST);
     assert(!state->reading);
     state->reading = true;
+    state->asked_us = router->now_us;
     effect->u.read.feed = feed;
     effect->u.read.from = state->next;
     effect->u.read.wait_us = wait_us;
@@ -526,10 +527,12 @@
         return; /* the news may be on its way here, too */
     }
     if (state->fail_since_us == 0) {
-        if (state->reading) {
-            /* The read that waits has missed the news. */
+        if (state->reading && state->asked_us < state->behind_us) {
+            /* The read that waits has missed the news. One that was asked
+             * after they were told of is on its way, however often they are
+             * told again. */
             cancel_read(router, feed);
-            read_feed(router, feed);
+            read_waiting(router, feed, 0);
         }
         return;
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -282,6 +282,7 @@
 struct sl_feed_state {
     GHashTable *kept; /* key -> struct sl_kept_record, owned */
     bool reading;
+    int64_t asked_us;  /* when the newest read was asked for */
     bool pulling;      /* from a peer */
     int64_t pull_us;   /* earliest next pull */
     int64_t behind_us; /* since when a peer is known to be ahead; 0: none */
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -15,7 +15,10 @@
 //     [seq=] [born=]
 //   drop ID | evacuate DOMAIN | restore DOMAIN
 //   rollout SERVICE VERSION seconds= | status SERVICE VERSION STATE [ramped]
-//   store up | down | silent
+//   store up | down | silent | misses [answer=MS]   misses: reads that wait
+//   are
+//       not told of news
+//   repeat N MS LINE       N times: the line, then MS pass
 //   asked FEED from=       a peer pulls records
 //   pulled FEED [snapshot] KEY...   a peer hands over the newest of these keys
 //   stall MS               time passes in which the process does not run
@@ -30,6 +33,7 @@
 //     [answers= bad= base-answers= base-bad=] [leaving]
 //     [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
+//   reads                  how many reads the store was asked for since then
 //   drain | show WORD... | hide WORD... | metrics WORD... | +MS
 #include <gtest/gtest.h>
 
@@ -223,19 +227,45 @@
                 {"show", &Script::on_show},
                 {"hide", &Script::on_show},
                 {"metrics", &Script::on_metrics},
+                {"reads", &Script::on_reads},
             };
         if (line[0] == '+') {
             world.pass(std::stoll(line.substr(1)));
             return;
         }
         members m(line);
+        if (m.words.at(0) == "repeat") {
+            repeat(line);
+            return;
+        }
         auto handler = handlers.find(m.words.at(0));
         ASSERT_NE(handler, handlers.end()) << line;
         (this->*handler->second)(m);
     }
 
+    void
+    repeat(const std::string &line)
+    {
+        std::istringstream in(line);
+        std::string word, again;
+        int64_t times = 0, ms = 0;
+        in >> word >> times >> ms >> std::ws;
+        std::getline(in, again);
+        for (int64_t i = 0; i < times; i++) {
+            run_line(again);
+            world.pass(ms);
+        }
+    }
+
     /* ---- events ---- */
 
+    void
+    on_reads(const members &)
+    {
+        out << "    " << world.reads_asked << " reads\n";
+        world.reads_asked = 0;
+    }
+
     void
     on_start(const members &m)
     {
@@ -406,8 +436,11 @@
     void
     on_store(const members &m)
     {
-        world.store_up = m.words.at(1) == "up";
-        world.store_silent = m.words.at(1) == "silent";
+        const std::string &how = m.words.at(1);
+        world.store_up = how == "up" || how == "misses";
+        world.store_misses = how == "misses";
+        world.store_answer_us = m.number("answer", 0) * Sl_US_PER_MS;
+        world.store_silent = how == "silent";
     }
 
     static enum sl_feed
--- a/tests/unit/router_world.h
+++ b/tests/unit/router_world.h
@@ -124,8 +124,11 @@
   public:
     int64_t now_us = 1000 * Sl_US_PER_S;
     bool store_up = true;
-    bool store_silent = false; // while down: no answer at all
+    bool store_silent = false;   // while down: no answer at all
+    int64_t store_answer_us = 0; // how long the store takes for an answer
+    bool store_misses = false;   // reads that wait are not told of news
     Topic topics[Sl_FEED_COUNT];
+    unsigned reads_asked = 0; // of the store
     struct sl_router *router = nullptr;
     std::function<void(const struct sl_router_effect &)> on_effect;
 
@@ -218,6 +221,7 @@
            const struct sl_record &record)
     {
         topics[feed].append(key, record);
+        reads[feed].misses |= store_misses;
         answer_reads();
     }
 
@@ -226,7 +230,9 @@
         bool active = false;
         bool snapshot = false;
         uint64_t from = 0;
+        int64_t asked_us = 0;
         int64_t due_us = 0;
+        bool misses = false; // news have come that it is not told of
     };
     struct sl_router_effects *effects;
     pending_read reads[Sl_FEED_COUNT];
@@ -241,7 +247,10 @@
             pending.active = true;
             pending.snapshot = effect.type == Sl_RFX_READ_NEWEST;
             pending.from = effect.u.read.from;
+            pending.asked_us = now_us;
             pending.due_us = now_us + effect.u.read.wait_us;
+            pending.misses = false;
+            reads_asked++;
             return true;
         }
         if (effect.type == Sl_RFX_READ_CANCEL) {
@@ -255,26 +264,40 @@
     next_read_due() const
     {
         int64_t due = Sl_NEVER_US;
-        for (const pending_read &pending : reads) {
-            if (pending.active) {
-                due = std::min(due, pending.due_us);
+        for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
+            if (reads[feed].active) {
+                due = std::min(due, store_up ? answer_due(feed)
+                                             : reads[feed].due_us);
             }
         }
         return due;
     }
 
+    // Would the store answer the read, without waiting for news?
     bool
-    is_due(int feed) const
+    has_answer(int feed) const
     {
         const pending_read &pending = reads[feed];
-        if (!pending.active) {
-            return false;
-        }
         if (!store_up) {
-            return !store_silent || now_us >= pending.due_us;
+            return !store_silent;
         }
-        return pending.snapshot || topics[feed].end() > pending.from ||
-               now_us >= pending.due_us;
+        return pending.snapshot ||
+               (topics[feed].end() > pending.from && !pending.misses);
+    }
+
+    // When the read that is under way is answered, as things stand.
+    int64_t
+    answer_due(int feed) const
+    {
+        int64_t soonest_us = reads[feed].asked_us + store_answer_us;
+        return has_answer(feed) ? std::max(soonest_us, now_us)
+                                : std::max(reads[feed].due_us, soonest_us);
+    }
+
+    bool
+    is_due(int feed) const
+    {
+        return reads[feed].active && answer_due(feed) <= now_us;
     }
 
     void
