Upstreams that say in answers that they leave, or want quiet

Server-Leaving: from the answer on nothing new goes to that start of the upstream, whatever the store says of it; it is told to peers as a hint with its age, is not passed to callers, and only a start that was born after the answer takes it back. 503 with Retry-After: nothing from this router for that time, health checks included. Fractions hold, 0 names no time, over ten minutes count as ten minutes, what cannot be read is none; the odd ones get a log line. Where all upstreams of a service want quiet, callers are refused at once with the time that is left, up to a minute. Cause found on the way, by the property of random walks: what an upstream had asked for was kept with its registration, so an entry that lapsed and came back with the store forgot it. It is kept apart now. Ruled out: taking back by any newer registration (heartbeats of before the answer are newer in the log when the store was away), and by a quiet that ends with a new start (the start may have asked before it was read).

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -10,11 +10,17 @@
  * frames of roll-outs. */
 #define Sl_FIXED_BYTES 360
 /* Most bytes of one fault, tally, load and session. */
-#define Sl_FAULT_BYTES 6
+#define Sl_FAULT_BYTES 9
 #define Sl_TALLY_BYTES 30
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
 
+/* A fault as one number: bits of its kind, and of its age in steps. */
+#define Sl_KIND_BITS 2
+#define Sl_AGE_BITS 16
+#define Sl_AGE_MAX 0xffff
+#define Sl_AGE_STEP_MS 10
+
 #define Sl_DIGEST_FIELDS 11
 #define Sl_LOAD_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 9
@@ -38,6 +44,28 @@
     }
 }
 
+/* Hash, age and kind as one number. */
+static uint64_t
+fault_number(const struct sl_gossip_fault *fault)
+{
+    uint64_t age = MIN(fault->age_ms / Sl_AGE_STEP_MS, Sl_AGE_MAX);
+    return ((uint64_t)fault->upstream << Sl_AGE_BITS | age) << Sl_KIND_BITS |
+           (uint64_t)fault->kind;
+}
+
+static struct sl_gossip_fault
+fault_of(uint64_t number)
+{
+    uint64_t kind = number & ((1 << Sl_KIND_BITS) - 1);
+    uint64_t rest = number >> Sl_KIND_BITS;
+    return (struct sl_gossip_fault){
+        .upstream = (uint32_t)(rest >> Sl_AGE_BITS),
+        .kind = kind < Sl_FAULT_KINDS ? (enum sl_fault_kind)kind
+                                      : Sl_FAULT_FAILING,
+        .age_ms = (uint32_t)(rest & Sl_AGE_MAX) * Sl_AGE_STEP_MS,
+    };
+}
+
 static void
 pack_rollout(msgpack_packer *packer, const struct sl_gossip_rollout *rollout,
              size_t session_count)
@@ -101,12 +129,9 @@
         msgpack_pack_uint32(packer, digest->loads[i].in_flight);
         msgpack_pack_uint32(packer, digest->loads[i].backlog_ms);
     }
-    /* The key's hash and the flag as one number. */
     msgpack_pack_array(packer, digest->fault_count);
     for (size_t i = 0; i < digest->fault_count; i++) {
-        uint64_t fault = (uint64_t)digest->faults[i].upstream << 1;
-        msgpack_pack_uint64(packer,
-                            fault | (digest->faults[i].is_replaced ? 1 : 0));
+        msgpack_pack_uint64(packer, fault_number(&digest->faults[i]));
     }
     msgpack_pack_array(packer, digest->rollout_count);
     for (size_t i = 0; i < digest->rollout_count; i++) {
@@ -290,11 +315,7 @@
     }
     struct sl_items faults = next_array(&fields, Sl_GOSSIP_MAX_FAULTS);
     while (faults.ok && faults.left > 0) {
-        uint64_t fault = next_uint(&faults);
-        digest->faults[digest->fault_count++] = (struct sl_gossip_fault){
-            .upstream = (uint32_t)(fault >> 1),
-            .is_replaced = (fault & 1) != 0,
-        };
+        digest->faults[digest->fault_count++] = fault_of(next_uint(&faults));
     }
     struct sl_items rollouts = next_array(&fields, Sl_GOSSIP_MAX_ROLLOUTS);
     while (rollouts.ok && rollouts.left > 0) {
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -17,7 +17,7 @@
 
 #include "sl_common.h"
 
-#define Sl_GOSSIP_VERSION 3
+#define Sl_GOSSIP_VERSION 4
 /* Below the payload of one Ethernet frame, so that none is fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
 
@@ -37,10 +37,18 @@
     uint32_t backlog_ms; /* of prompts that are not read yet */
 };
 
-/* An upstream that the sender has found failing. */
+enum sl_fault_kind {
+    Sl_FAULT_FAILING,
+    Sl_FAULT_REPLACED, /* another one has its address: it is gone for good */
+    Sl_FAULT_LEAVING,  /* it has said so in an answer */
+    Sl_FAULT_KINDS,
+};
+
+/* An upstream that the sender has found of no use. */
 struct sl_gossip_fault {
     uint32_t upstream; /* hash of its id */
-    bool is_replaced;  /* another one has its address: it is gone for good */
+    enum sl_fault_kind kind;
+    uint32_t age_ms; /* LEAVING: since the answer, in steps of 10 ms */
 };
 
 /* By what an answer shows that its version is bad. */
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -177,6 +177,7 @@
     SlBuf_Append(&exchange->headers, head->headers);
     exchange->head.headers = SlBuf_Str(&exchange->headers);
     SlUpstreams_OnLoad(router, exchange->upstream, head);
+    SlWishes_OnHead(router, exchange->upstream, head);
     SlUpstreams_OnRead(router, exchange->upstream, exchange);
     int64_t usual_us = usual_time(router, flight);
     log_head(router, flight, usual_us);
@@ -327,8 +328,7 @@
         SlUpstreams_OnReplaced(router, upstream);
     }
     else {
-        SlUpstreams_OnRefused(router, upstream,
-                              flight->exchange.head.retry_after_us);
+        SlUpstreams_OnRefused(router, upstream);
     }
     SlFlight_MarkTried(flight, upstream);
     SlCalls_Detach(router, flight);
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -51,10 +51,23 @@
     while (g_hash_table_iter_next(&iter, NULL, &value) &&
            digest->fault_count < Sl_GOSSIP_MAX_FAULTS) {
         const struct sl_upstream *upstream = value;
-        if (upstream->listed && SlUpstreams_IsOwnFault(router, upstream)) {
-            digest->faults[digest->fault_count++] =
-                (struct sl_gossip_fault){upstream->key, upstream->is_replaced};
+        if (!upstream->listed) {
+            continue;
+        }
+        struct sl_gossip_fault fault = {.upstream = upstream->key};
+        if (SlWishes_TellsLeaving(router, upstream)) {
+            fault.kind = Sl_FAULT_LEAVING;
+            fault.age_ms = (uint32_t)((router->now_us - upstream->left_us) /
+                                      Sl_US_PER_MS);
+        }
+        else if (SlUpstreams_IsOwnFault(router, upstream)) {
+            fault.kind =
+                upstream->is_replaced ? Sl_FAULT_REPLACED : Sl_FAULT_FAILING;
+        }
+        else {
+            continue;
         }
+        digest->faults[digest->fault_count++] = fault;
     }
 }
 
--- a/lib/router/sl_measures.c
+++ b/lib/router/sl_measures.c
@@ -106,7 +106,8 @@
     [Sl_MEASURE_UPSTREAMS] = {"sassafrasledge_upstreams",
                               Sl_METRIC_GAUGE,
                               "Registered upstreams; state: usable, shunned, "
-                              "cold, draining, replaced, evacuated.",
+                              "quiet, cold, draining, leaving, replaced, "
+                              "evacuated.",
                               {"service", "state"},
                               NULL},
     [Sl_MEASURE_FLEET] = {"sassafrasledge_fleet_routers",
@@ -255,8 +256,9 @@
 static void
 set_upstreams(struct sl_router *router)
 {
-    static const char *const states[] = {"usable",   "shunned",  "cold",
-                                         "draining", "replaced", "evacuated"};
+    static const char *const states[] = {"usable",   "shunned",  "quiet",
+                                         "cold",     "draining", "leaving",
+                                         "replaced", "evacuated"};
     GHashTableIter iter;
     gpointer value;
     /* A state that nobody is in any more falls to 0. */
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -85,8 +85,7 @@
 serves(const struct sl_router *router, const struct sl_flight *flight,
        const struct sl_upstream *upstream, enum sl_version_rule rule)
 {
-    return upstream->listed && !upstream->reg.draining &&
-           !upstream->is_replaced &&
+    return SlUpstreams_TakesWork(upstream) &&
            SlName_Equal(&upstream->reg.service, &flight->service->name) &&
            !SlUpstreams_IsEvacuated(router, &upstream->reg.domain) &&
            keeps_regions(router, flight, upstream) &&
@@ -106,6 +105,7 @@
 {
     int64_t at = SlCold_NextUs(router, upstream, flight->service);
     at = MAX(at, upstream->shun_until_us);
+    at = MAX(at, upstream->quiet_until_us);
     if (SlUpstreams_Load(router, upstream) >=
         Sl_FULL_SLOTS * slots_of(upstream)) {
         /* When one of its requests ends. */
@@ -192,6 +192,7 @@
     GHashTableIter iter;
     gpointer value;
     enum sl_version_rule rule = SlRollouts_RuleFor(router, flight);
+    unsigned quiet = 0;
     SlPeers_SumLoads(router);
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -203,11 +204,13 @@
         int64_t at = free_at(router, flight, upstream);
         if (at > router->now_us) {
             choice.full++;
+            quiet += SlWishes_IsQuiet(router, upstream) ? 1 : 0;
             choice.wait_us = MIN(choice.wait_us, at - router->now_us);
             continue;
         }
         weigh(&choice, upstream, cost_of(router, flight, upstream));
     }
+    choice.is_quiet = quiet > 0 && quiet == choice.serving;
     if (choice.upstream != NULL) {
         choice.first_us = first_event_us(router, flight, choice.upstream);
     }
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -156,7 +156,7 @@
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_upstream *upstream = value;
-        if (!upstream->listed || upstream->reg.draining ||
+        if (!SlUpstreams_TakesWork(upstream) ||
             !SlName_Equal(&upstream->reg.service, &rollout->order.service)) {
             continue;
         }
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -29,6 +29,8 @@
                                               SlName_TableEqual, NULL, g_free);
     router->upstreams = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, NULL, SlUpstreams_Free);
+    router->wishes = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
+                                           NULL, g_free);
     router->flights = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                             SlFlight_Free);
     router->by_token = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -85,6 +87,7 @@
     g_hash_table_destroy(router->flights);
     g_ptr_array_free(router->garbage, TRUE);
     g_hash_table_destroy(router->upstreams);
+    g_hash_table_destroy(router->wishes);
     g_hash_table_destroy(router->evacuated);
     SlRouting_Unref(router->routing);
     SlMetrics_Free(router->metrics);
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -204,10 +204,12 @@
     int64_t running;
     int64_t waiting;
     int64_t slots;
-    int confidence;         /* 0 to 100; -1: not given */
-    int64_t retry_after_us; /* 0: not given */
-    int64_t cold_us;        /* -1: not given */
-    struct sl_str headers;  /* to be passed on, as "Name: value\r\n" lines */
+    int confidence;          /* 0 to 100; -1: not given */
+    bool is_leaving;         /* the upstream takes nothing new soon */
+    int64_t retry_after_us;  /* 0: not given */
+    bool retry_after_is_odd; /* it was given, and cannot be used */
+    int64_t cold_us;         /* -1: not given */
+    struct sl_str headers;   /* to be passed on, as "Name: value\r\n" lines */
 };
 
 /* ---- 4. Events -------------------------------------------------------- */
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -25,6 +25,7 @@
  * sl_cold.c       how much of a cold upstream's allowance is ours
  * sl_peers.c      the other routers
  * sl_upstreams.c  what is believed of upstreams
+ * sl_wishes.c     what upstreams ask for in their answers
  * sl_pace.c       how fast models read prompts
  * sl_events.c     events of a stream, one by one
  * sl_measures.c   counts and times for operators
@@ -56,26 +57,30 @@
 
 struct sl_upstream {
     struct sl_registration reg;
-    uint32_t key;          /* hash of its id, for gossip */
-    uint64_t offset;       /* of its newest registration */
-    int64_t heard_us;      /* when that was read */
-    bool listed;           /* registered; others only finish their work */
-    int64_t lapse_us;      /* its entry went while the store was away: it is
-                              gone at this time unless it is back; else 0 */
-    int64_t cold_until_us; /* 0: warm */
-    int64_t cold_sent_us;  /* newest request while cold; 0: none */
-    bool was_lost;         /* it failed since it was last heard of */
-    int64_t lost_us;       /* when it failed last */
-    int64_t shun_until_us; /* after failures */
-    int64_t fault_us;      /* when this router last found it failing; 0: never
-                              since it last answered */
-    bool is_replaced;      /* another upstream has its address */
-    unsigned failures;     /* in a row */
-    int64_t in_flight;     /* own */
-    int64_t bytes_us;      /* when it last sent anything, to any call */
-    int64_t event_us;      /* when it last sent an event that was not the
-                              first of its stream: those come as prompts are
-                              read, while streams stand still */
+    uint32_t key;           /* hash of its id, for gossip */
+    uint64_t offset;        /* of its newest registration */
+    int64_t heard_us;       /* when that was read */
+    bool listed;            /* registered; others only finish their work */
+    int64_t lapse_us;       /* its entry went while the store was away: it is
+                               gone at this time unless it is back; else 0 */
+    int64_t cold_until_us;  /* 0: warm */
+    int64_t cold_sent_us;   /* newest request while cold; 0: none */
+    bool was_lost;          /* it failed since it was last heard of */
+    int64_t lost_us;        /* when it failed last */
+    int64_t shun_until_us;  /* after failures */
+    int64_t fault_us;       /* when this router last found it failing; 0: never
+                               since it last answered */
+    bool is_replaced;       /* another upstream has its address */
+    int64_t since_us;       /* when this start of it was first heard of */
+    int64_t left_us;        /* when it said that it leaves; 0: it did not */
+    bool is_own_left;       /* to this router, not to a peer */
+    int64_t quiet_until_us; /* it wants nothing from this router until then */
+    unsigned failures;      /* in a row */
+    int64_t in_flight;      /* own */
+    int64_t bytes_us;       /* when it last sent anything, to any call */
+    int64_t event_us;       /* when it last sent an event that was not the
+                               first of its stream: those come as prompts are
+                               read, while streams stand still */
     int64_t answered_sent_us; /* when the newest call with a head was sent */
     struct sl_health_check check;
     int64_t told_us;    /* when an answer last told its load; 0: never */
@@ -88,6 +93,16 @@
     GHashTable *parts; /* key -> struct sl_held_part, owned */
 };
 
+/* What an upstream has asked for in its answers. */
+struct sl_wish {
+    struct sl_name id;
+    int64_t born_ms;        /* of the start that leaves; 0: not known */
+    uint64_t sequence;      /* of its newest registration then */
+    int64_t left_us;        /* when it said that it leaves; 0: it did not */
+    int64_t left_wall_ms;   /* the same, since the epoch */
+    int64_t quiet_until_us; /* it wants nothing until then */
+};
+
 /* A prompt part that an upstream read for a model. */
 struct sl_held_part {
     uint64_t key; /* of part and model */
@@ -343,6 +358,7 @@
 
     GHashTable *upstreams; /* id -> struct sl_upstream, owned */
     size_t lapsing;        /* of them, those with a `lapse_us` */
+    GHashTable *wishes;    /* id -> struct sl_wish, owned */
     GHashTable *paces;     /* model name -> struct sl_pace, owned */
     GHashTable *runs;      /* service name -> double, length in us, owned */
     GHashTable *answers;   /* route name -> double, us to a head, owned */
@@ -487,7 +503,10 @@
  * counts as cold until it is heard of, or for `cold_start_us`. */
 void SlUpstreams_OnGood(struct sl_router *router, struct sl_upstream *upstream,
                         int64_t cold_start_us);
-/* "usable", "shunned", "cold", "draining", "replaced" or "evacuated". */
+/* Is it registered, and neither leaving nor replaced? */
+bool SlUpstreams_TakesWork(const struct sl_upstream *upstream);
+/* "usable", "shunned", "quiet", "cold", "draining", "leaving", "replaced" or
+ * "evacuated". */
 const char *SlUpstreams_State(const struct sl_router *router,
                               const struct sl_upstream *upstream);
 /* It could not be reached, or broke off: it is shunned for a while. */
@@ -506,8 +525,7 @@
                             const struct sl_upstream *upstream);
 /* It refused: it is full. */
 void SlUpstreams_OnRefused(struct sl_router *router,
-                           struct sl_upstream *upstream,
-                           int64_t retry_after_us);
+                           struct sl_upstream *upstream);
 /* Requests that run or wait there, as far as is known. */
 int64_t SlUpstreams_Load(const struct sl_router *router,
                          const struct sl_upstream *upstream);
@@ -526,6 +544,26 @@
 /* Forgets parts that were not used for long. */
 void SlUpstreams_Sweep(struct sl_router *router);
 
+/* ---- what upstreams ask for ---- */
+
+/* Takes what the head of an upstream's answer asks for. */
+void SlWishes_OnHead(struct sl_router *router, struct sl_upstream *upstream,
+                     const struct sl_answer_head *head);
+/* A peer had an answer that says that the upstream leaves. */
+void SlWishes_OnToldLeaving(struct sl_router *router,
+                            const struct sl_name *teller,
+                            struct sl_upstream *upstream, int64_t age_us);
+/* Are peers to be told that it leaves? */
+bool SlWishes_TellsLeaving(const struct sl_router *router,
+                           const struct sl_upstream *upstream);
+/* Does it want nothing from this router now? */
+bool SlWishes_IsQuiet(const struct sl_router *router,
+                      const struct sl_upstream *upstream);
+/* The upstream was heard of for the first time, or has started anew. */
+void SlWishes_OnStart(struct sl_router *router, struct sl_upstream *upstream);
+/* Forgets those that went long ago. */
+void SlWishes_Sweep(struct sl_router *router);
+
 /* ---- cold upstreams ---- */
 
 /* Pause between the requests of one router to a cold upstream that bears
@@ -715,6 +753,7 @@
     unsigned full;    /* and those of them that cannot take it now */
     int64_t wait_us;  /* a guess of when one of those may; Sl_NEVER_US when
                          there is none */
+    bool is_quiet;    /* all of them have asked for quiet: it is no guess */
 };
 
 /* The upstream that should run the flight now. */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -59,6 +59,7 @@
     g_hash_table_insert(router->by_key, GUINT_TO_POINTER(upstream->key),
                         upstream);
     router->peers_changed = true;
+    SlWishes_OnStart(router, upstream);
     return upstream;
 }
 
@@ -82,6 +83,16 @@
     return reg->sequence < upstream->reg.sequence;
 }
 
+/* It has started anew. */
+static void
+forget_start(struct sl_router *router, struct sl_upstream *upstream)
+{
+    g_hash_table_remove_all(upstream->parts);
+    upstream->failures = 0;
+    upstream->shun_until_us = 0;
+    SlWishes_OnStart(router, upstream);
+}
+
 void
 SlUpstreams_Put(struct sl_router *router, uint64_t offset,
                 const struct sl_registration *reg)
@@ -98,12 +109,11 @@
     }
     else {
         drains = reg->draining && !upstream->reg.draining;
-        if (has_restarted(upstream, reg)) {
-            g_hash_table_remove_all(upstream->parts);
-            upstream->failures = 0;
-            upstream->shun_until_us = 0;
-        }
+        bool is_new_start = has_restarted(upstream, reg);
         upstream->reg = *reg;
+        if (is_new_start) {
+            forget_start(router, upstream);
+        }
     }
     upstream->offset = offset;
     upstream->heard_us = router->now_us;
@@ -185,6 +195,13 @@
     return g_hash_table_contains(router->evacuated, domain);
 }
 
+bool
+SlUpstreams_TakesWork(const struct sl_upstream *upstream)
+{
+    return upstream->listed && !upstream->reg.draining &&
+           upstream->left_us == 0 && !upstream->is_replaced;
+}
+
 const char *
 SlUpstreams_State(const struct sl_router *router,
                   const struct sl_upstream *upstream)
@@ -198,6 +215,12 @@
     if (SlUpstreams_IsEvacuated(router, &upstream->reg.domain)) {
         return "evacuated";
     }
+    if (upstream->left_us != 0) {
+        return "leaving";
+    }
+    if (SlWishes_IsQuiet(router, upstream)) {
+        return "quiet";
+    }
     if (upstream->shun_until_us > router->now_us) {
         return "shunned";
     }
@@ -293,6 +316,7 @@
         struct sl_upstream *upstream = value;
         g_hash_table_foreach_remove(upstream->parts, is_stale_part, router);
     }
+    SlWishes_Sweep(router);
 }
 
 void
@@ -445,6 +469,11 @@
 {
     struct sl_upstream *upstream =
         g_hash_table_lookup(router->by_key, GUINT_TO_POINTER(fault->upstream));
+    if (upstream != NULL && fault->kind == Sl_FAULT_LEAVING) {
+        SlWishes_OnToldLeaving(router, teller, upstream,
+                               fault->age_ms * Sl_US_PER_MS);
+        return;
+    }
     if (upstream == NULL ||
         router->now_us - upstream->bytes_us < Sl_TOLD_FAULT_US) {
         return; /* it has just answered here */
@@ -459,16 +488,14 @@
     upstream->was_lost = true;
     upstream->lost_us = router->now_us;
     shun(router, upstream, Sl_TOLD_FAULT_US);
-    if (fault->is_replaced && !upstream->is_replaced) {
+    if (fault->kind == Sl_FAULT_REPLACED && !upstream->is_replaced) {
         upstream->is_replaced = true;
         log_upstream(router, upstream, "upstream_replaced");
     }
 }
 
 void
-SlUpstreams_OnRefused(struct sl_router *router, struct sl_upstream *upstream,
-                      int64_t retry_after_us)
+SlUpstreams_OnRefused(struct sl_router *router, struct sl_upstream *upstream)
 {
-    shun(router, upstream,
-         retry_after_us > 0 ? retry_after_us : Sl_REFUSED_PAUSE_US);
+    shun(router, upstream, Sl_REFUSED_PAUSE_US);
 }
--- a/lib/router/sl_waiting.c
+++ b/lib/router/sl_waiting.c
@@ -16,6 +16,8 @@
 /* Least and largest time after which a refused caller may come back. */
 #define Sl_LEAST_RETRY_US (100 * Sl_US_PER_MS)
 #define Sl_MOST_RETRY_US (3 * Sl_US_PER_S)
+/* The same where all upstreams have named a time. */
+#define Sl_MOST_QUIET_RETRY_US (60 * Sl_US_PER_S)
 
 /* ---- the queue ---- */
 
@@ -121,12 +123,15 @@
     int64_t wait_us = choice->wait_us;
     int64_t left_us = flight->deadline_us - router->now_us;
     int64_t retry_us = wait_us == Sl_NEVER_US ? left_us / 3 : wait_us;
-    retry_us = CLAMP(retry_us, Sl_LEAST_RETRY_US, Sl_MOST_RETRY_US);
+    retry_us =
+        CLAMP(retry_us, Sl_LEAST_RETRY_US,
+              choice->is_quiet ? Sl_MOST_QUIET_RETRY_US : Sl_MOST_RETRY_US);
     bool ran = flight->runs > 0;
     const struct sl_refusal refusal = {
         .status = ran ? 502 : 503,
         .step = "placement",
         .reason = wait_us == Sl_NEVER_US ? "no upstream can take the request"
+                  : choice->is_quiet     ? "the upstreams ask for quiet"
                                          : "the request would wait too long",
         .ran = ran,
         .retry_after_us = ran ? 0 : retry_us,
--- a/lib/router/sl_watch.c
+++ b/lib/router/sl_watch.c
@@ -260,7 +260,8 @@
         end(router, flight, &silence, step.why);
         break;
     case Sl_SILENCE_CHECK:
-        if (flight->exchange.upstream->check.token == 0) {
+        if (flight->exchange.upstream->check.token == 0 &&
+            !SlWishes_IsQuiet(router, flight->exchange.upstream)) {
             begin_check(router, flight->exchange.upstream);
         }
         look_again(router, flight, step.again_us);
--- /dev/null
+++ b/lib/router/sl_wishes.c
@@ -0,0 +1,197 @@
+/*
+ * What upstreams ask for in their answers: to get nothing new, as they leave,
+ * or nothing for a time. Answers stores that do not know of it yet, or cannot
+ * be asked: what an upstream has said itself goes before its registration, and
+ * is kept when that goes, as an old entry may come back with a store that was
+ * away. Only a newer start takes a leaving back.
+ *
+ * Peers are told of leaving for a while, with the age of the answer: they
+ * leave the upstream alone, too, unless they know of a start since then. Quiet
+ * is wanted from one router, so nobody is told of it.
+ */
+#include "sl_router_internal.h"
+
+/* Peers are told for so long; those that start later learn it from the store,
+ * or by their own answers. */
+#define Sl_LEFT_TOLD_US (10 * Sl_US_PER_S)
+/* What upstreams have said is kept for so long: beyond the time that any of
+ * them serves on, and any store is away. */
+#define Sl_WISH_KEPT_US (10 * 60 * Sl_US_PER_S)
+/* Longest quiet that an upstream is believed to want; one that asks for more
+ * has a fault of its own. */
+#define Sl_MAX_QUIET_US Sl_WISH_KEPT_US
+
+/* ---- what was said ---- */
+
+static struct sl_wish *
+wish_of(struct sl_router *router, const struct sl_upstream *upstream)
+{
+    struct sl_wish *wish =
+        g_hash_table_lookup(router->wishes, &upstream->reg.id);
+    if (wish == NULL) {
+        wish = g_new0(struct sl_wish, 1);
+        wish->id = upstream->reg.id;
+        g_hash_table_insert(router->wishes, &wish->id, wish);
+    }
+    return wish;
+}
+
+/* The answer may have come from a start whose registration was not read yet:
+ * only one that was born after the answer is newer. */
+static bool
+is_newer_start(const struct sl_wish *wish, const struct sl_registration *reg)
+{
+    if (reg->born_ms != 0 && wish->born_ms != 0) {
+        return reg->born_ms != wish->born_ms &&
+               reg->born_ms > wish->left_wall_ms;
+    }
+    return reg->sequence < wish->sequence;
+}
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+    const struct sl_router *router = data;
+    const struct sl_wish *wish = value;
+    (void)key;
+    return router->now_us - wish->left_us > Sl_WISH_KEPT_US &&
+           router->now_us > wish->quiet_until_us &&
+           !g_hash_table_contains(router->upstreams, &wish->id);
+}
+
+void
+SlWishes_Sweep(struct sl_router *router)
+{
+    g_hash_table_foreach_remove(router->wishes, is_forgotten, router);
+}
+
+void
+SlWishes_OnStart(struct sl_router *router, struct sl_upstream *upstream)
+{
+    struct sl_wish *wish =
+        g_hash_table_lookup(router->wishes, &upstream->reg.id);
+    upstream->since_us = router->now_us;
+    upstream->left_us = 0;
+    upstream->is_own_left = false;
+    if (wish == NULL) {
+        return;
+    }
+    /* The new start may have asked for it before its registration was read. */
+    upstream->quiet_until_us = wish->quiet_until_us;
+    if (wish->left_us != 0 && is_newer_start(wish, &upstream->reg)) {
+        wish->left_us = 0;
+    }
+    upstream->left_us = wish->left_us;
+    upstream->is_own_left = wish->left_us != 0;
+}
+
+/* ---- leaving ---- */
+
+static void
+leave(struct sl_router *router, struct sl_upstream *upstream,
+      const struct sl_name *teller, int64_t said_us)
+{
+    SlLine_Begin(router, "upstream_leaving");
+    SlLine_Name(router, "upstream", &upstream->reg.id);
+    SlLine_Name(router, "service", &upstream->reg.service);
+    SlLine_Int(router, "draining", upstream->reg.draining);
+    if (teller != NULL) {
+        SlLine_Name(router, "told_by", teller);
+    }
+    SlLine_Int(router, "said_ms", (router->now_us - said_us) / Sl_US_PER_MS);
+    SlLine_End(router, Sl_LOG_INFO);
+    upstream->left_us = said_us;
+    upstream->is_own_left = teller == NULL;
+    router->capacity_changed = true;
+    router->loads_changed = true;
+}
+
+static void
+on_leaving(struct sl_router *router, struct sl_upstream *upstream)
+{
+    if (upstream->left_us != 0 && upstream->is_own_left) {
+        return;
+    }
+    struct sl_wish *wish = wish_of(router, upstream);
+    wish->born_ms = upstream->reg.born_ms;
+    wish->sequence = upstream->reg.sequence;
+    wish->left_us = router->now_us;
+    wish->left_wall_ms = router->wall_ms;
+    leave(router, upstream, NULL, router->now_us);
+}
+
+void
+SlWishes_OnToldLeaving(struct sl_router *router, const struct sl_name *teller,
+                       struct sl_upstream *upstream, int64_t age_us)
+{
+    int64_t said_us = router->now_us - age_us;
+    if (upstream->left_us != 0 || said_us <= upstream->since_us) {
+        return; /* known, or of a start before this one */
+    }
+    leave(router, upstream, teller, said_us);
+}
+
+bool
+SlWishes_TellsLeaving(const struct sl_router *router,
+                      const struct sl_upstream *upstream)
+{
+    return upstream->left_us != 0 && upstream->is_own_left &&
+           router->now_us - upstream->left_us < Sl_LEFT_TOLD_US;
+}
+
+/* ---- quiet ---- */
+
+bool
+SlWishes_IsQuiet(const struct sl_router *router,
+                 const struct sl_upstream *upstream)
+{
+    return upstream->quiet_until_us > router->now_us;
+}
+
+static void
+on_quiet(struct sl_router *router, struct sl_upstream *upstream,
+         int64_t for_us)
+{
+    struct sl_wish *wish = wish_of(router, upstream);
+    if (!SlWishes_IsQuiet(router, upstream)) {
+        SlLine_Begin(router, "upstream_quiet");
+        SlLine_Name(router, "upstream", &upstream->reg.id);
+        SlLine_Int(router, "for_ms", for_us / Sl_US_PER_MS);
+        SlLine_End(router, Sl_LOG_INFO);
+    }
+    /* A shorter time after a longer one takes nothing back. */
+    wish->quiet_until_us = MAX(wish->quiet_until_us, router->now_us + for_us);
+    upstream->quiet_until_us = wish->quiet_until_us;
+}
+
+static void
+log_odd(struct sl_router *router, const struct sl_upstream *upstream,
+        const struct sl_answer_head *head)
+{
+    SlLine_Begin(router, "retry_after_odd");
+    SlLine_Name(router, "upstream", &upstream->reg.id);
+    SlLine_Int(router, "status", head->status);
+    SlLine_Int(router, "asked_ms", head->retry_after_us / Sl_US_PER_MS);
+    SlLine_End(router, Sl_LOG_WARN);
+}
+
+/* ---- answers ---- */
+
+void
+SlWishes_OnHead(struct sl_router *router, struct sl_upstream *upstream,
+                const struct sl_answer_head *head)
+{
+    if (head->wrong_instance) {
+        return; /* another one speaks */
+    }
+    if (head->is_leaving) {
+        on_leaving(router, upstream);
+    }
+    if (head->retry_after_is_odd || head->retry_after_us > Sl_MAX_QUIET_US) {
+        log_odd(router, upstream, head);
+    }
+    bool is_asked = head->status == 503 || head->not_executed;
+    if (is_asked && head->retry_after_us > 0) {
+        on_quiet(router, upstream, MIN(head->retry_after_us, Sl_MAX_QUIET_US));
+    }
+}
--- a/tests/props/router_requests.cc
+++ b/tests/props/router_requests.cc
@@ -99,6 +99,10 @@
     std::map<uint64_t, Call> calls;          // by token, under way
     std::map<int, int64_t> closed_us; // upstreams that drain or are gone
     std::map<std::string, int64_t> evacuated_us;
+    std::map<int, int64_t> starts;         // of upstreams
+    std::map<int, int64_t> born_ms;        // when that was
+    std::map<int, int64_t> left_start;     // that said in an answer: it leaves
+    std::map<int, int64_t> quiet_until_us; // wanted by an upstream
     uint64_t last_conn = 0;
     uint64_t peer_sequence = 0;
     int64_t store_changed_us = 0;
@@ -194,6 +198,11 @@
         reg.cold_us = below(4) == 0 ? Sl_US_PER_S : 0;
         reg.sequence = world.topics[Sl_FEED_UPSTREAMS].end();
         reg.draining = drains;
+        if (below(3) == 0) {
+            starts[index]++;
+            born_ms[index] = world.event_of(Sl_REV_TICK).wall_ms;
+        }
+        reg.born_ms = born_ms[index];
         closed_us.erase(index);
         if (drains) {
             closed_us[index] = world.now_us;
@@ -348,9 +357,11 @@
         answer.confidence = (int)below(101);
         answer.has_load = below(2) == 0;
         answer.running = (int64_t)below(4);
+        int index = atoi(call.upstream.c_str() + 1);
         if (kind == 0) {
             answer.status = 503;
             answer.not_executed = true;
+            answer.retry_after_us = (int64_t)below(3) * 400 * Sl_US_PER_MS;
         }
         else if (kind == 1) {
             answer.status = 421;
@@ -363,6 +374,14 @@
         else if (kind == 3) {
             answer.is_stamped = false;
         }
+        if (kind != 1 && below(12) == 0) {
+            answer.is_leaving = true;
+            left_start[index] = starts[index];
+        }
+        if (answer.retry_after_us > 0) {
+            quiet_until_us[index] = std::max(
+                quiet_until_us[index], world.now_us + answer.retry_after_us);
+        }
         call.has_head = true;
         call.is_good = is_stream && answer.status == 200 && answer.is_stamped;
         if (answer.not_executed) {
@@ -421,7 +440,8 @@
         digest->loads[0] = {key, (uint32_t)below(4), (uint32_t)below(100)};
         if (below(3) == 0) {
             digest->fault_count = 1;
-            digest->faults[0] = {key, below(4) == 0};
+            digest->faults[0] = {
+                key, below(4) == 0 ? Sl_FAULT_REPLACED : Sl_FAULT_FAILING, 0};
         }
         event.u.gossip = digest.get();
         world.reduce(event);
@@ -488,6 +508,12 @@
                call.request + " is sent too often");
         expect(effect.last_event == caller.last_event,
                call.request + " resumes at the wrong event");
+        auto left = left_start.find(index);
+        expect(left == left_start.end() || left->second != starts[index],
+               call.upstream + " has said that it leaves");
+        auto quiet = quiet_until_us.find(index);
+        expect(quiet == quiet_until_us.end() || quiet->second <= world.now_us,
+               call.upstream + " wants quiet");
         // After an outage a read may take a while to be tried again.
         if (world.store_up &&
             world.now_us - store_changed_us > read_again_us) {
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -73,7 +73,7 @@
     digest->rollout_count = Sl_GOSSIP_MAX_ROLLOUTS;
     digest->fault_count = Sl_GOSSIP_MAX_FAULTS;
     for (auto &fault : digest->faults) {
-        fault = {0xffffffff, true};
+        fault = {0xffffffff, Sl_FAULT_LEAVING, 0xffffffff};
     }
     for (auto &load : digest->loads) {
         load = {0xffffffff, 0xffffffff, 0xffffffff};
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -212,6 +212,56 @@
     EXPECT_NE(text(answer.headers).find("Server-Stamp"), std::string::npos);
 }
 
+// What an upstream asks for in its answers, and how it may be written.
+TEST_F(PlatformHeaders, ReadsWhenToComeBack)
+{
+    const struct {
+        const char *value;
+        bool is_odd;
+        int64_t us;
+    } cases[] = {
+        {"2", false, 2 * Sl_US_PER_S},
+        {"0.25", false, 250 * Sl_US_PER_MS},
+        {"0", false, 0},
+        {"1e20", false, (int64_t)1e15},
+        {"-1", true, 0},
+        {"", true, 0},
+        {"soon", true, 0},
+        {"2 s", true, 0},
+        {"nan", true, 0},
+        {"Fri, 04 Dec 2026 10:00:00 GMT", true, 0},
+        {"99999999999999999999999999999999999999999999999999999999999999999999"
+         "9999999999999999999999999999999999999999999999999999999999999999999"
+         "9",
+         true, 0},
+    };
+    for (const auto &at : cases) {
+        struct sl_answer_head answer;
+        head.header_count = 0;
+        SlBuf_Clear(&relay);
+        head.status = 503;
+        add_header(&head, "retry-after", at.value);
+        SlPlatform_DecodeAnswer(&head, &relay, &answer);
+        EXPECT_EQ(answer.retry_after_is_odd, at.is_odd) << at.value;
+        EXPECT_EQ(answer.retry_after_us, at.us) << at.value;
+    }
+}
+
+TEST_F(PlatformHeaders, ReadsThatAnUpstreamLeavesAndKeepsItToItself)
+{
+    for (const char *value : {"1", "0", ""}) {
+        struct sl_answer_head answer;
+        head.header_count = 0;
+        SlBuf_Clear(&relay);
+        head.status = 200;
+        add_header(&head, "Server-Leaving", value);
+        add_header(&head, "X-Other", "1");
+        SlPlatform_DecodeAnswer(&head, &relay, &answer);
+        EXPECT_EQ(answer.is_leaving, strcmp(value, "1") == 0);
+        EXPECT_EQ(text(answer.headers), "X-Other: 1\r\n");
+    }
+}
+
 /* ---- records ---- */
 
 class PlatformRecords : public testing::Test {
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -26,10 +26,11 @@
 //     [parts=ID:TOKENS,..] [tokens=] [last=]
 //   gone CONN
 //   head CONN STATUS [stamp] [not-run] [wrong] [confidence=] [load=R,W]
+//     [leaving] [retry=MS] [retry-odd]
 //   piece CONN TEXT
 //   done CONN [err=] [unsent]      of the newest call for that caller
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:N:MS] [sessions=..]
-//     [fault=ID[:replaced],..] [order=] [elapsed=MS] [suspect]
+//     [fault=ID[:replaced | :leaving:MS],..] [order=] [elapsed=MS] [suspect]
 //     [answers= bad= base-answers= base-bad=] [leaving]
 //     [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
@@ -556,6 +557,9 @@
         head.not_executed = m.flag("not-run");
         head.wrong_instance = m.flag("wrong");
         head.confidence = (int)m.number("confidence", -1);
+        head.is_leaving = m.flag("leaving");
+        head.retry_after_us = m.number("retry") * Sl_US_PER_MS;
+        head.retry_after_is_odd = m.flag("retry-odd");
         head.cold_us = -1;
         if (load.size() == 2) {
             head.has_load = true;
@@ -627,7 +631,11 @@
             std::vector<std::string> fields = split(fault, ':');
             struct sl_gossip_fault &at = digest->faults[digest->fault_count++];
             at.upstream = (uint32_t)SlHash_Bytes(0, view(fields.at(0)));
-            at.is_replaced = fields.size() > 1;
+            at.kind = fields.size() < 2            ? Sl_FAULT_FAILING
+                      : fields.at(1) == "replaced" ? Sl_FAULT_REPLACED
+                                                   : Sl_FAULT_LEAVING;
+            at.age_ms =
+                fields.size() < 3 ? 0 : (uint32_t)std::stoul(fields.at(2));
         }
         if (m.values.count("order") != 0) {
             struct sl_gossip_rollout &rollout = digest->rollouts[0];
