--- a/lib/router/sl_wishes.c
+++ b/lib/router/sl_wishes.c
@@ -16,7 +16,7 @@
 #define Sl_LEFT_TOLD_US (10 * Sl_US_PER_S)
 /* What upstreams have said is kept for so long: beyond the time that any of
  * them serves on, and any store is away. */
-#define Sl_WISH_KEPT_US (10 * 60 * Sl_US_PER_S)
+#define Sl_WISH_KEPT_US (600 * Sl_US_PER_S)
 /* Longest quiet that an upstream is believed to want; one that asks for more
  * has a fault of its own. */
 #define Sl_MAX_QUIET_US Sl_WISH_KEPT_US
