Bytes without end: every reader has a bound, and says what is true

Cause, found by senders that write until they are closed: interim answers, and answers of other requests, were skipped without end; an event that does not end, and answers of the store and of peers, were kept without a bound; a whole answer beyond its bound failed also where it may be asked again. Ruled out (bounded before, now held by tests): heads, header lines, chunk sizes, extensions, trailers, bytes behind an answer, callers' requests. Change: bounds for each; all answers in hand stay within a quarter of the process's memory, and the largest is given up. A call given up so may have run, and goes on elsewhere only where it may. Looking for an event's end does not start over with each read.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,21 @@
 soak: build
 	tests/soak/run.sh $(BUILD) $(FROM) $$(($(FROM) + $(SEEDS) - 1)) $(SECONDS)
 
+# The reader under libFuzzer, for FUZZ_SECONDS; needs `make fuzz-packages`.
+FUZZ_SECONDS ?= 60
+fuzz:
+	cmake -S . -B build-fuzz -DCMAKE_C_COMPILER=clang \
+		-DCMAKE_CXX_COMPILER=clang++ -DSL_FUZZ=ON -DSL_SANITIZE=ON
+	cmake --build build-fuzz -j $(JOBS) --target fuzz_reader
+	mkdir -p build-fuzz/corpus
+	build-fuzz/tests/fuzz/fuzz_reader -max_total_time=$(FUZZ_SECONDS) \
+		-max_len=4096 -artifact_prefix=build-fuzz/ build-fuzz/corpus
+
+fuzz-packages:
+	apt-get update -qq
+	DEBIAN_FRONTEND=noninteractive apt-get install -y -qq clang \
+		libclang-rt-dev
+
 sanitize:
 	$(MAKE) build BUILD=build-asan CMAKE_FLAGS=-DSL_SANITIZE=ON
 
@@ -59,5 +74,5 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all build packages test props-long soak sanitize format format-check lint \
+.PHONY: all build packages test props-long soak fuzz fuzz-packages sanitize format format-check lint \
 	demo bench clean
--- a/lib/net/sl_client.c
+++ b/lib/net/sl_client.c
@@ -13,6 +13,11 @@
 #define Sl_EVENT_WAIT_US (10 * Sl_US_PER_MS)
 /* Answers of other requests that are skipped before a call is given up. */
 #define Sl_MAX_SKIPPED 2
+/* Bytes of such answers, and interim answers, before a call is given up: a
+ * late second answer may be a whole stream; upstreams send an interim answer
+ * or two. */
+#define Sl_MAX_SKIPPED_BYTES ((size_t)256 * 1024)
+#define Sl_MAX_INTERIM 8
 
 struct sl_link {
     struct sl_client *client;
@@ -45,6 +50,8 @@
     bool answered;
     bool skipping; /* this answer belongs to another request */
     unsigned skipped;
+    size_t skipped_bytes;
+    unsigned interim;
 };
 
 struct sl_client {
@@ -225,7 +232,8 @@
     SlReader_Head(&link->reader, &head);
     if (head.status < 200) {
         call->skipping = true; /* an interim answer */
-        return true;
+        call->interim++;
+        return call->interim <= Sl_MAX_INTERIM;
     }
     link->keep_alive = head.keep_alive;
     link->idle_limit_us = keep_alive_limit_us(&head);
@@ -249,7 +257,8 @@
     struct sl_link *link = context;
     struct sl_client_call *call = link->call;
     if (call->skipping) {
-        return true;
+        call->skipped_bytes += bytes.len;
+        return call->skipped_bytes <= Sl_MAX_SKIPPED_BYTES;
     }
     call->handlers.on_piece(call->handlers.context, call->id, bytes);
     return link->call != NULL;
--- a/lib/router/sl_answers.c
+++ b/lib/router/sl_answers.c
@@ -3,6 +3,8 @@
 
 /* Whole answers are kept until they have ended; larger ones are an error. */
 #define Sl_MAX_ANSWER_BYTES ((size_t)4 * 1024 * 1024)
+/* An event holds some tokens; one that does not end by then never does. */
+#define Sl_MAX_EVENT_BYTES ((size_t)256 * 1024)
 
 static struct sl_flight *
 flight_of(const struct sl_router *router, uint64_t token)
@@ -225,6 +227,57 @@
     exchange->events_taken = offset;
 }
 
+/* Bytes of the answer that wait to be passed on. */
+static size_t
+kept_of(const struct sl_exchange *exchange)
+{
+    return exchange->body.len + exchange->events.pending.len -
+           exchange->events_taken;
+}
+
+static void
+count_kept(struct sl_router *router, struct sl_exchange *exchange)
+{
+    router->kept_bytes -= exchange->kept_bytes;
+    exchange->kept_bytes = kept_of(exchange);
+    router->kept_bytes += exchange->kept_bytes;
+}
+
+/* The flight that keeps most. */
+static struct sl_flight *
+largest(const struct sl_router *router, struct sl_flight *flight)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->flights);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_flight *other = value;
+        if (other->exchange.kept_bytes > flight->exchange.kept_bytes) {
+            flight = other;
+        }
+    }
+    return flight;
+}
+
+/* What comes has no end that could be passed on. */
+static void
+on_too_large(struct sl_router *router, struct sl_flight *flight)
+{
+    struct sl_upstream *upstream = flight->exchange.upstream;
+    SlLine_BeginFor(router, "answer_too_large", flight);
+    SlLine_Name(router, "upstream", &upstream->reg.id);
+    SlLine_Int(router, "bytes", (int64_t)flight->exchange.kept_bytes);
+    SlLine_Int(router, "all_bytes", (int64_t)router->kept_bytes);
+    SlLine_Int(router, "last_event", flight->last_event);
+    SlLine_End(router, Sl_LOG_WARN);
+    SlMeasures_OnCallFailed(router, flight, "too_large");
+    SlUpstreams_OnFailure(router, upstream);
+    SlFlight_MarkTried(flight, upstream);
+    SlCalls_Cancel(router, flight);
+    SlFlight_Again(router, flight, true, "upstream.answer",
+                   "the answer is too large");
+}
+
 void
 SlAnswers_OnPiece(struct sl_router *router, uint64_t token,
                   struct sl_str bytes)
@@ -235,24 +288,26 @@
     }
     struct sl_exchange *exchange = &flight->exchange;
     note_bytes(router, exchange);
-    if (is_stream(flight) && is_success(&exchange->head)) {
+    bool passes = is_stream(flight) && is_success(&exchange->head);
+    if (passes) {
         /* What was given out the last time is not needed any more. */
         SlEvents_Drop(&exchange->events, exchange->events_taken);
         exchange->events_taken = 0;
         SlEvents_Feed(&exchange->events, bytes);
         pass_events(router, flight);
-        return;
     }
-    note_progress(router, exchange);
-    SlBuf_Append(&exchange->body, bytes);
-    if (exchange->body.len > Sl_MAX_ANSWER_BYTES) {
-        static const struct sl_refusal refusal = {
-            .status = 502,
-            .step = "upstream.answer",
-            .reason = "the answer is too large",
-            .ran = true,
-        };
-        SlFlight_Fail(router, flight, &refusal);
+    else {
+        note_progress(router, exchange);
+        SlBuf_Append(&exchange->body, bytes);
+    }
+    count_kept(router, exchange);
+    size_t all = router->options.max_kept_bytes;
+    if (exchange->kept_bytes >
+        (passes ? Sl_MAX_EVENT_BYTES : Sl_MAX_ANSWER_BYTES)) {
+        on_too_large(router, flight);
+    }
+    else if (all > 0 && router->kept_bytes > all) {
+        on_too_large(router, largest(router, flight));
     }
 }
 
--- a/lib/router/sl_calls.c
+++ b/lib/router/sl_calls.c
@@ -101,6 +101,8 @@
     struct sl_exchange *exchange = &flight->exchange;
     g_hash_table_remove(router->by_token, &exchange->token);
     exchange->token = 0;
+    router->kept_bytes -= exchange->kept_bytes;
+    exchange->kept_bytes = 0;
     SlRollouts_OnEnded(router, flight);
     SlUpstreams_OnEnded(router, exchange->upstream, exchange);
     exchange->upstream = NULL;
--- a/lib/router/sl_events.c
+++ b/lib/router/sl_events.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* Bytes of an event's end that may be there while it is not whole. */
+#define Sl_EVENT_END_BYTES 2
+
 void
 SlEvents_Feed(struct sl_event_splitter *splitter, struct sl_str bytes)
 {
@@ -36,12 +39,12 @@
     return -1;
 }
 
-/* Length of the event that starts at `at`, its empty line included; 0 when it
- * is not whole. */
+/* Length of the event, its empty line included; 0 when it is not whole. Its
+ * first `from` bytes are known to hold no end. */
 static size_t
-event_length(struct sl_str bytes)
+event_length(struct sl_str bytes, size_t from)
 {
-    for (size_t i = 0; i + 1 < bytes.len; i++) {
+    for (size_t i = from; i + 1 < bytes.len; i++) {
         if (bytes.ptr[i] != '\n') {
             continue;
         }
@@ -62,8 +65,13 @@
 {
     struct sl_str rest = {splitter->pending.ptr + *offset,
                           splitter->pending.len - *offset};
-    size_t len = rest.len == 0 ? 0 : event_length(rest);
+    size_t from = MAX(splitter->scanned, *offset) - *offset;
+    size_t len = rest.len == 0 ? 0 : event_length(rest, from);
     if (len == 0) {
+        /* An end may have begun in the last two bytes. */
+        splitter->scanned = *offset + (rest.len > Sl_EVENT_END_BYTES
+                                           ? rest.len - Sl_EVENT_END_BYTES
+                                           : 0);
         return false;
     }
     *event = (struct sl_str){rest.ptr, len};
@@ -79,6 +87,7 @@
     if (offset > 0) {
         memmove(splitter->pending.ptr, splitter->pending.ptr + offset, rest);
         splitter->pending.len = rest;
+        splitter->scanned -= MIN(splitter->scanned, offset);
     }
 }
 
@@ -86,6 +95,7 @@
 SlEvents_Clear(struct sl_event_splitter *splitter)
 {
     SlBuf_Clear(&splitter->pending);
+    splitter->scanned = 0;
 }
 
 void
--- a/lib/router/sl_measures.c
+++ b/lib/router/sl_measures.c
@@ -48,7 +48,7 @@
                                  Sl_METRIC_COUNTER,
                                  "Calls that gave no answer for the caller; "
                                  "reason: unreachable, broken, refused, "
-                                 "replaced, silent, error.",
+                                 "replaced, silent, too_large, error.",
                                  {"service", "reason"},
                                  NULL},
     [Sl_MEASURE_DOUBTED] = {"sassafrasledge_answers_doubted_total",
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -61,8 +61,9 @@
     struct sl_domain domains[Sl_MAX_DOMAINS];
     struct sl_name peer_address; /* "IP:PORT" at which peers reach us */
     struct sl_bounds bounds;
-    uint64_t boot; /* random, never 0; differs at every start */
-    uint64_t seed; /* of the random generator */
+    size_t max_kept_bytes; /* of answers in hand; 0: no bound */
+    uint64_t boot;         /* random, never 0; differs at every start */
+    uint64_t seed;         /* of the random generator */
     int64_t now_us;
 };
 
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -223,6 +223,7 @@
 /* Splits a stream into events, which end with an empty line. */
 struct sl_event_splitter {
     struct sl_buf pending; /* bytes of the event that is not whole yet */
+    size_t scanned;        /* of them, those before which no event ends */
 };
 
 /* Takes bytes; then call SlEvents_Next() until it returns false. */
@@ -267,6 +268,7 @@
     struct sl_buf body;    /* whole answers */
     struct sl_event_splitter events;
     size_t events_taken; /* bytes of `events` that were passed on */
+    size_t kept_bytes;   /* of the answer, as counted in the router */
 };
 
 struct sl_flight {
@@ -381,6 +383,7 @@
     uint64_t digest_sequence;
     GHashTable *flights;  /* conn -> struct sl_flight, owned */
     GHashTable *by_token; /* call token -> struct sl_flight */
+    size_t kept_bytes;    /* of answers that are not passed on yet */
     GQueue *early;        /* struct sl_early, owned */
     GQueue *queue;        /* waiting flights, most urgent first */
     int64_t bytes_us;     /* when any upstream or peer last sent anything */
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -26,6 +26,9 @@
  * of what the reducer leaves of the grace time. */
 #define Sl_LAST_WRITES_US (300 * Sl_US_PER_MS)
 #define Sl_LEAVE_CHECK_US (20 * Sl_US_PER_MS)
+/* One in so many bytes of the process's memory may be answers in hand. */
+#define Sl_KEPT_PART 4
+#define Sl_BYTES_PER_MB ((size_t)1024 * 1024)
 /* The balancer's checks: short requests on a few connections. */
 static const struct sl_server_limits ready_limits = {
     .max_header_bytes = 8192,
@@ -587,6 +590,8 @@
         .region = settings->region,
         .peer_address = SlRouterPeers_Address(shell),
         .bounds = settings->bounds,
+        .max_kept_bytes =
+            (size_t)settings->memory_mb * Sl_BYTES_PER_MB / Sl_KEPT_PART,
         .boot = random_number() | 1,
         .seed = random_number(),
         .now_us = steady_us(),
--- a/programs/sassafrasd_router_peers.c
+++ b/programs/sassafrasd_router_peers.c
@@ -96,6 +96,10 @@
     g_free(pull);
 }
 
+static void on_pull_done(void *context, uint64_t handle,
+                         const struct sl_error *failed,
+                         const struct sl_client_end *end);
+
 static void
 on_pull_head(void *context, uint64_t handle, const struct sl_head *head)
 {
@@ -107,11 +111,17 @@
 static void
 on_pull_piece(void *context, uint64_t handle, struct sl_str bytes)
 {
+    static const struct sl_client_end end = {.connected = true};
     struct sl_pull *pull = context;
-    (void)handle;
+    struct sl_error err;
     if (pull->body.len + bytes.len <= Sl_PAGE_MAX_BYTES) {
         SlBuf_Append(&pull->body, bytes);
+        return;
     }
+    SlClient_Cancel(pull->peers->shell->client, handle);
+    (void)SlError_Set(&err, Sl_ERR_INVALID, "peer.pull", "",
+                      "the page is too large");
+    on_pull_done(pull, handle, &err, &end);
 }
 
 /* Decodes the page's records as those of the store. */
--- /dev/null
+++ b/tests/fuzz/reader_target.h
@@ -0,0 +1,150 @@
+// What a fuzzer runs: bytes as a message of HTTP and as a stream of events.
+// Nothing may crash, keep more than its bound, or depend on how the bytes were
+// cut into reads.
+#ifndef SL_READER_TARGET_H
+#define SL_READER_TARGET_H
+
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "sl_net_internal.h"
+#include "sl_router_internal.h"
+}
+
+constexpr size_t target_head_bytes = 2048;
+
+// What a reader gives of a message, as text.
+struct ReaderTrace {
+    struct sl_reader reader = {};
+    std::string heads;
+    std::string body;
+    unsigned ends = 0;
+    bool broken = false;
+
+    explicit ReaderTrace(enum http_parser_type type)
+    {
+        struct sl_reader_handlers handlers = {on_head, on_body, on_end, this};
+        SlReader_Init(&reader, type, target_head_bytes, &handlers);
+    }
+    ReaderTrace(const ReaderTrace &) = delete;
+
+    ~ReaderTrace()
+    {
+        SlReader_Clear(&reader);
+    }
+
+    static std::string
+    text(struct sl_str view)
+    {
+        return view.len == 0 ? std::string() : std::string(view.ptr, view.len);
+    }
+
+    static bool
+    on_head(void *context)
+    {
+        auto *self = static_cast<ReaderTrace *>(context);
+        struct sl_head head;
+        SlReader_Head(&self->reader, &head);
+        self->heads += text(head.method) + " " + text(head.target) + " " +
+                       std::to_string(head.status) + "\n";
+        for (size_t i = 0; i < head.header_count; i++) {
+            self->heads += text(head.headers[i].name) + ":" +
+                           text(head.headers[i].value) + "\n";
+            (void)SlHead_IsHopByHop(&head, &head.headers[i]);
+        }
+        return true;
+    }
+
+    static bool
+    on_body(void *context, struct sl_str bytes)
+    {
+        static_cast<ReaderTrace *>(context)->body += text(bytes);
+        return true;
+    }
+
+    static void
+    on_end(void *context)
+    {
+        static_cast<ReaderTrace *>(context)->ends++;
+    }
+
+    // Feeds the bytes in reads of `step`; goes on with the next message.
+    void
+    feed(const char *bytes, size_t len, size_t step)
+    {
+        for (size_t at = 0; at < len && !broken && ends < 8;) {
+            size_t want = std::min(step, len - at);
+            bool ok = true;
+            size_t taken = SlReader_Feed(&reader, bytes + at, want, &ok);
+            broken = !ok;
+            at += taken;
+            if (reader.text.len > target_head_bytes) {
+                abort();
+            }
+            if (reader.ended) {
+                SlReader_Next(&reader);
+            }
+            else if (taken < want && ok) {
+                abort(); // bytes that nobody takes
+            }
+        }
+        if (!broken && ends < 8) {
+            (void)SlReader_Close(&reader);
+        }
+    }
+
+    std::string
+    all() const
+    {
+        return heads + "|" + body + "|" + std::to_string(ends) +
+               (broken ? "!" : "");
+    }
+};
+
+inline std::string
+events_of(const char *bytes, size_t len, size_t step)
+{
+    struct sl_event_splitter splitter = {};
+    std::string out;
+    for (size_t at = 0; at < len; at += step) {
+        SlEvents_Feed(&splitter, {bytes + at, std::min(step, len - at)});
+        struct sl_str event;
+        int64_t id;
+        size_t offset = 0;
+        while (SlEvents_Next(&splitter, &offset, &event, &id)) {
+            out += std::to_string(id) + "=" +
+                   std::string(event.ptr, event.len) + ";";
+        }
+        SlEvents_Drop(&splitter, offset);
+    }
+    SlEvents_Free(&splitter);
+    return out;
+}
+
+inline void
+run_reader_target(const uint8_t *data, size_t size)
+{
+    const char *bytes = reinterpret_cast<const char *>(data);
+    for (enum http_parser_type type : {HTTP_REQUEST, HTTP_RESPONSE}) {
+        ReaderTrace whole(type);
+        whole.feed(bytes, size, size + 1);
+        for (size_t step : {1, 3, 64}) {
+            ReaderTrace cut(type);
+            cut.feed(bytes, size, step);
+            if (cut.all() != whole.all()) {
+                abort();
+            }
+        }
+    }
+    std::string whole = events_of(bytes, size, size + 1);
+    for (size_t step : {1, 2, 5}) {
+        if (events_of(bytes, size, step) != whole) {
+            abort();
+        }
+    }
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/net_endless.cc
@@ -0,0 +1,285 @@
+// Bytes that are no answer and no request, without end: each side closes at
+// its bound, keeps little of them, and says what is true. A sender writes
+// until it is closed; the resident size is watched.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "flood.h"
+
+extern "C" {
+#include "sl_net.h"
+}
+
+namespace {
+
+struct Flood {
+    const char *name;
+    std::string first;
+    std::string again;
+};
+
+std::ostream &
+operator<<(std::ostream &out, const Flood &flood)
+{
+    return out << flood.name;
+}
+
+std::string
+test_name(const testing::TestParamInfo<Flood> &info)
+{
+    return info.param.name;
+}
+
+class Endless : public testing::TestWithParam<Flood> {
+  protected:
+    struct event_base *base = event_base_new();
+    size_t resident = resident_bytes();
+
+    ~Endless() override
+    {
+        event_base_free(base);
+    }
+};
+
+// ---- answers ----
+
+class EndlessAnswer : public Endless {
+  protected:
+    struct evconnlistener *listener = nullptr;
+    struct sl_client *client = nullptr;
+    Sender sender{GetParam().first, GetParam().again};
+    std::string address;
+    int status = 0;
+    size_t body = 0;
+    bool done = false;
+    bool failed = false;
+    bool connected = false;
+
+    static void
+    on_head(void *context, uint64_t, const struct sl_head *head)
+    {
+        static_cast<EndlessAnswer *>(context)->status = head->status;
+    }
+
+    static void
+    on_piece(void *context, uint64_t, struct sl_str bytes)
+    {
+        static_cast<EndlessAnswer *>(context)->body += bytes.len;
+    }
+
+    static void
+    on_done(void *context, uint64_t, const struct sl_error *err,
+            const struct sl_client_end *end)
+    {
+        auto *self = static_cast<EndlessAnswer *>(context);
+        self->done = true;
+        self->failed = err != nullptr;
+        self->connected = end->connected;
+    }
+
+    void
+    SetUp() override
+    {
+        listener = listen_for(base, &sender, &address);
+        struct sl_client_options options = {};
+        options.base = base;
+        options.max_idle_us = 10 * Sl_US_PER_S;
+        options.max_idle_per_address = 2;
+        client = SlClient_New(&options);
+    }
+
+    void
+    TearDown() override
+    {
+        SlClient_Free(client);
+        evconnlistener_free(listener);
+    }
+
+    void
+    call()
+    {
+        struct sl_client_call_options options = {};
+        options.address = {address.data(), address.size()};
+        options.peer = "u";
+        options.step = "test";
+        options.head = Sl_STR("GET / HTTP/1.1\r\n");
+        options.connect_timeout_us = 2 * Sl_US_PER_S;
+        options.echo_header = "X-Id";
+        options.echo_value = Sl_STR("mine");
+        options.handlers = {on_head, on_piece, on_done, this};
+        SlClient_Call(client, &options);
+    }
+};
+
+class EndlessNoAnswer : public EndlessAnswer {};
+
+TEST_P(EndlessNoAnswer, IsClosedAndCalledFailed)
+{
+    call();
+    run_flood(base, sender, resident, [this] { return done; });
+    EXPECT_TRUE(done);
+    EXPECT_TRUE(failed);
+    EXPECT_TRUE(connected) << "the request may have run";
+}
+
+const char chunked[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Net, EndlessNoAnswer,
+    testing::Values(
+        Flood{"Garbage", "", "garbage "}, Flood{"EmptyLines", "", "\r\n"},
+        Flood{"StatusLine", "HTTP/1.1 200 ", "well "},
+        Flood{"HeaderName", "HTTP/1.1 200 OK\r\n", "name"},
+        Flood{"HeaderLine", "HTTP/1.1 200 OK\r\nX: ", "value "},
+        Flood{"Headers", "HTTP/1.1 200 OK\r\n", "X: 1\r\n"},
+        Flood{"ChunkSize", chunked, "0"},
+        Flood{"ChunkExtension", std::string(chunked) + "1;", "extension"},
+        Flood{"Trailers", std::string(chunked) + "1\r\nx\r\n0\r\n",
+              "X: 1\r\n"},
+        Flood{"TrailerLine",
+              std::string(chunked) + "1\r\nx\r\n0\r\nX: ", "value "},
+        Flood{"InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        Flood{"InterimHeaders", "",
+              "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+        Flood{"AnswersOfOthers", "",
+              "HTTP/1.1 200 OK\r\nX-Id: o\r\nContent-Length: 1\r\n\r\nx"},
+        Flood{"AnAnswerOfAnother",
+              "HTTP/1.1 200 OK\r\nX-Id: o\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n",
+              "5\r\nother\r\n"},
+        Flood{"AnAnswerOfAnotherWithoutLength",
+              "HTTP/1.1 200 OK\r\nX-Id: o\r\n\r\n", "other"}),
+    test_name);
+
+class EndlessBehindAnswer : public EndlessAnswer {};
+
+TEST_P(EndlessBehindAnswer, IsClosedAndTheAnswerStands)
+{
+    call();
+    run_flood(base, sender, resident, [this] { return done; });
+    EXPECT_TRUE(done);
+    EXPECT_FALSE(failed);
+    EXPECT_EQ(status, 200);
+    EXPECT_EQ(body, 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Net, EndlessBehindAnswer,
+    testing::Values(
+        Flood{"Garbage", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+              "more"},
+        Flood{"Answers", "",
+              "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok"},
+        Flood{"BehindChunks", std::string(chunked) + "2\r\nok\r\n0\r\n\r\n",
+              "0\r\n\r\n"}),
+    test_name);
+
+// ---- requests ----
+
+class EndlessRequest : public Endless {
+  protected:
+    struct sl_server *server = nullptr;
+    Sender sender{GetParam().first, GetParam().again};
+    unsigned requests = 0;
+    unsigned gone = 0;
+
+    static void
+    on_request(void *context, uint64_t, const struct sl_head *, struct sl_str)
+    {
+        static_cast<EndlessRequest *>(context)->requests++;
+    }
+
+    static void
+    on_gone(void *context, uint64_t)
+    {
+        static_cast<EndlessRequest *>(context)->gone++;
+    }
+
+    void
+    SetUp() override
+    {
+        struct sockaddr_in at = {};
+        socklen_t len = sizeof(at);
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ASSERT_EQ(bind(fd, (struct sockaddr *)&at, len), 0);
+        ASSERT_EQ(getsockname(fd, (struct sockaddr *)&at, &len), 0);
+        close(fd);
+        std::string address =
+            "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        struct sl_server_options options = {};
+        struct sl_error err;
+        options.base = base;
+        options.address = SlName_Of(address.c_str());
+        options.handlers = {on_request, on_gone, this};
+        options.limits = {16384,           65536, 2 * Sl_US_PER_S,
+                          5 * Sl_US_PER_S, 10,    65536};
+        server = SlServer_New(&options, &err);
+        ASSERT_NE(server, nullptr) << err.text;
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+        sender.begin(base, fd);
+    }
+
+    void
+    TearDown() override
+    {
+        SlServer_Free(server);
+    }
+};
+
+TEST_P(EndlessRequest, IsRefusedAndClosed)
+{
+    sender.write();
+    run_flood(base, sender, resident, [] { return true; });
+    EXPECT_EQ(requests, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Net, EndlessRequest,
+    testing::Values(
+        Flood{"Garbage", "", "garbage "}, Flood{"EmptyLines", "", "\r\n"},
+        Flood{"Target", "GET /", "long"},
+        Flood{"HeaderLine", "GET / HTTP/1.1\r\nX: ", "value "},
+        Flood{"Headers", "GET / HTTP/1.1\r\n", "X: 1\r\n"},
+        Flood{"Body", "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+              "body"},
+        Flood{"Chunks",
+              "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+              "4\r\nbody\r\n"},
+        Flood{"ChunkSize",
+              "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+        Flood{"ChunkExtension",
+              "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+        Flood{"Trailers",
+              "POST / HTTP/1.1\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n1\r\nx\r\n0\r\n",
+              "X: 1\r\n"}),
+    test_name);
+
+class EndlessPipeline : public EndlessRequest {};
+
+// A caller that goes on while its first request is unanswered is not read.
+TEST_P(EndlessPipeline, WaitsInTheSocket)
+{
+    sender.write();
+    for (int i = 0; i < 400; i++) {
+        struct timeval tick = {0, 1000};
+        event_base_loopexit(base, &tick);
+        event_base_dispatch(base);
+    }
+    EXPECT_EQ(requests, 1u);
+    EXPECT_LT(sender.sent, most_sent);
+    EXPECT_LT(resident_bytes(), resident + most_kept);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Net, EndlessPipeline,
+    testing::Values(Flood{"Requests", "", "GET / HTTP/1.1\r\n\r\n"},
+                    Flood{"GarbageBehind", "GET / HTTP/1.1\r\n\r\n",
+                          "garbage "}),
+    test_name);
+
+} // namespace
--- /dev/null
+++ b/tests/unit/router_events.cc
@@ -0,0 +1,82 @@
+// Streams split into events, however their bytes come.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "sl_router_internal.h"
+}
+
+namespace {
+
+using Events = std::vector<std::pair<int64_t, std::string>>;
+
+// Feeds the text in pieces of at most `most` bytes; drops what was taken
+// after each, or never.
+Events
+split(const std::string &text, size_t most, bool drops, uint64_t seed)
+{
+    struct sl_event_splitter splitter = {};
+    struct sl_random random = {seed};
+    Events out;
+    size_t offset = 0;
+    for (size_t at = 0; at < text.size();) {
+        size_t len = 1 + SlRandom_Below(&random, (uint32_t)most);
+        len = std::min(len, text.size() - at);
+        SlEvents_Feed(&splitter, {text.data() + at, len});
+        at += len;
+        struct sl_str event;
+        int64_t id;
+        while (SlEvents_Next(&splitter, &offset, &event, &id)) {
+            out.emplace_back(id, std::string(event.ptr, event.len));
+        }
+        if (drops) {
+            SlEvents_Drop(&splitter, offset);
+            offset = 0;
+        }
+    }
+    SlEvents_Free(&splitter);
+    return out;
+}
+
+TEST(Events, AreTheSameHoweverTheirBytesCome)
+{
+    std::string text;
+    for (int i = 0; i < 60; i++) {
+        const char *end = i % 3 == 0 ? "\r\n" : "\n";
+        text += "id: " + std::to_string(i) + end +
+                "data: " + std::string((size_t)i * 7 % 50, 'x') + end + end;
+    }
+    Events whole = split(text, text.size(), false, 1);
+    ASSERT_EQ(whole.size(), 60u);
+    for (size_t i = 0; i < whole.size(); i++) {
+        EXPECT_EQ(whole[i].first, (int64_t)i);
+    }
+    for (uint64_t seed = 1; seed < 40; seed++) {
+        for (size_t most : {1, 2, 3, 9, 100}) {
+            EXPECT_EQ(split(text, most, true, seed), whole) << most;
+            EXPECT_EQ(split(text, most, false, seed), whole) << most;
+        }
+    }
+}
+
+// Each byte of an event that does not end is looked at a few times only.
+TEST(Events, WithoutAnEndCostLittle)
+{
+    struct sl_event_splitter splitter = {};
+    struct sl_str event;
+    int64_t id;
+    size_t offset = 0;
+    size_t looked = 0;
+    for (int i = 0; i < 200000; i++) {
+        size_t before = splitter.scanned;
+        SlEvents_Feed(&splitter, Sl_STR("x"));
+        EXPECT_FALSE(SlEvents_Next(&splitter, &offset, &event, &id));
+        looked += splitter.pending.len - before;
+    }
+    EXPECT_LE(looked, 4u * 200000);
+    SlEvents_Free(&splitter);
+}
+
+} // namespace
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -5,7 +5,8 @@
 // A script line is a word and "key=value" members; values hold no spaces, and
 // "~" stands for a line's end in them.
 //   include FILE
-//   start [vm=] [domain=] [exposure=] [regions=DOMAIN:REGION,..]
+//   start [vm=] [domain=] [exposure=] [keeps=BYTES]
+//     [regions=DOMAIN:REGION,..]
 //   service NAME [engine] [slots=] [models=a,b] [cold-s=] [cold-per-s=]
 //   route NAME host= prefix= kind= to=S[:W],.. [timeout=] [target=]
 //     [attempts=] [priority=] [models=a,b] [resumable] [public] [regions=]
@@ -286,6 +287,7 @@
     {
         struct sl_bounds bounds = small_bounds();
         bounds.exposure_share = m.real("exposure", bounds.exposure_share);
+        world.max_kept_bytes = (size_t)m.number("keeps");
         world.start(m.str("vm", "e1"), m.str("domain", "brest"), bounds,
                     m.str("regions"));
     }
--- a/tests/unit/router_world.h
+++ b/tests/unit/router_world.h
@@ -131,6 +131,7 @@
     Topic topics[Sl_FEED_COUNT];
     unsigned reads_asked = 0;   // of the store
     std::set<std::string> dark; // upstreams that cannot be connected to
+    size_t max_kept_bytes = 0;
     struct sl_router *router = nullptr;
     std::function<void(const struct sl_router_effect &)> on_effect;
 
@@ -156,6 +157,7 @@
         options.domain = SlName_Of(domain.c_str());
         options.peer_address = SlName_Of((vm + ":7340").c_str());
         options.bounds = bounds;
+        options.max_kept_bytes = max_kept_bytes;
         std::istringstream list(regions);
         for (std::string item; std::getline(list, item, ',');) {
             size_t colon = item.find(':');
