--- a/lib/router/sl_silence.c
+++ b/lib/router/sl_silence.c
@@ -2,8 +2,11 @@
 
 /* Parts of an objective after which an upstream is checked: a stream whose
  * events fail to come, and a request whose answer does. */
-#define Sl_CHECK_GAP 0.25
+#define Sl_CHECK_GAP 0.35
 #define Sl_CHECK_FIRST 0.2
+/* Order services have objectives of 100 ms and a few slots, of which each new
+ * connection takes one for a moment. */
+#define Sl_LEAST_CHECK_US (250 * Sl_US_PER_MS)
 /* Of an upstream that a peer found failing; a stream's events are tens of
  * milliseconds apart. */
 #define Sl_CHECK_SUSPECTED_US (100 * Sl_US_PER_MS)
@@ -76,9 +79,9 @@
     if (silence->has_head) {
         return part_of(objective_us, Sl_CHECK_GAP);
     }
-    return MAX(part_of(objective_us, Sl_CHECK_FIRST),
-               2 * silence->expected_us) +
-           silence->unread_us;
+    int64_t wait_us =
+        MAX(part_of(objective_us, Sl_CHECK_FIRST), 2 * silence->expected_us);
+    return MAX(wait_us, Sl_LEAST_CHECK_US) + silence->unread_us;
 }
 
 /* Silence after which a request without an answer is moved. */
--- a/lib/router/sl_watch.c
+++ b/lib/router/sl_watch.c
@@ -10,6 +10,7 @@
  * packet may be lost. */
 #define Sl_CHECK_TIMEOUT_US (150 * Sl_US_PER_MS)
 #define Sl_CHECKS_TO_DARK 2
+#define Sl_CHECK_PAUSE_US (250 * Sl_US_PER_MS)
 /* An upstream that was found dark is so for the calls that it has; they are
  * moved within this time. */
 #define Sl_DARK_US (2 * Sl_US_PER_S)
@@ -247,6 +248,15 @@
     SlFlight_Fail(router, flight, &refusal);
 }
 
+/* Whatever the number of its silent calls, an upstream is checked so often. */
+static bool
+may_check(const struct sl_router *router, const struct sl_upstream *upstream)
+{
+    const struct sl_health_check *check = &upstream->check;
+    return check->token == 0 && !SlWishes_IsQuiet(router, upstream) &&
+           router->now_us - check->asked_us >= Sl_CHECK_PAUSE_US;
+}
+
 static void
 watch(struct sl_router *router, struct sl_flight *flight)
 {
@@ -260,8 +270,7 @@
         end(router, flight, &silence, step.why);
         break;
     case Sl_SILENCE_CHECK:
-        if (flight->exchange.upstream->check.token == 0 &&
-            !SlWishes_IsQuiet(router, flight->exchange.upstream)) {
+        if (may_check(router, flight->exchange.upstream)) {
             begin_check(router, flight->exchange.upstream);
         }
         look_again(router, flight, step.again_us);
