Feeds: a store that is away is asked by one read at a time, with back-off

Ruled out: starts (70 of them, five calls each). Change: while the operators' feed fails, only it is asked; pauses double from 200 to 800 ms, with jitter, and are longer for routers that are not the first to read in their failure domain. The other feeds are read within 100 ms of its answer.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -15,8 +15,14 @@
  */
 #include "sl_router_internal.h"
 
-/* Pause after a failed read. */
+/* Pause after a failed read; doubles with each one in a row. The longest is
+ * within the time in which news must be in force. */
 #define Sl_READ_RETRY_US (200 * Sl_US_PER_MS)
+#define Sl_READ_RETRY_MAX_US (800 * Sl_US_PER_MS)
+/* Routers would ask a store that is back all at once. */
+#define Sl_READ_JITTER 0.25
+/* Feeds that waited for the store are read within this time. */
+#define Sl_READ_SPREAD_US (100 * Sl_US_PER_MS)
 
 /* Pause between pulls from peers. */
 #define Sl_PULL_PAUSE_US (100 * Sl_US_PER_MS)
@@ -50,6 +56,9 @@
     [Sl_FEED_MEMBERS] = {"members", Sl_US_PER_S, Sl_US_PER_S, false},
 };
 
+/* A store that is away is asked for this feed alone. */
+#define Sl_PULSE Sl_FEED_OPERATORS
+
 const char *
 SlFeed_Name(enum sl_feed feed)
 {
@@ -93,6 +102,7 @@
     }
     SlTimers_Cancel(router->timers, state->timer);
     state->timer = 0;
+    state->waits_for_pulse = false;
 }
 
 static void read_after(struct sl_router *router, enum sl_feed feed,
@@ -159,13 +169,25 @@
     SlLine_End(router, Sl_LOG_INFO);
 }
 
+/* Is the store away, by the feed that is asked most often? Then only that one
+ * asks on. */
+static bool
+waits_for_pulse(const struct sl_router *router, enum sl_feed feed)
+{
+    return feed != Sl_PULSE && router->feeds[feed].failures > 0 &&
+           router->feeds[Sl_PULSE].failures > 0;
+}
+
 static void
 on_read_due(void *context, uint64_t id, int64_t now_us)
 {
     struct sl_router *router = context;
     (void)now_us;
     router->feeds[id].timer = 0;
-    if (router->feeds[id].synced && is_handed_news(router)) {
+    if (waits_for_pulse(router, (enum sl_feed)id)) {
+        router->feeds[id].waits_for_pulse = true;
+    }
+    else if (router->feeds[id].synced && is_handed_news(router)) {
         read_after(router, (enum sl_feed)id, Sl_READER_CHECK_US);
     }
     else {
@@ -187,7 +209,7 @@
 SlFeeds_Read(struct sl_router *router, enum sl_feed feed)
 {
     const struct sl_feed_state *state = &router->feeds[feed];
-    if (!state->reading && state->timer == 0) {
+    if (!state->reading && state->timer == 0 && !state->waits_for_pulse) {
         read_feed(router, feed);
     }
 }
@@ -397,6 +419,29 @@
 
 /* ---- answers ---- */
 
+/* A time between (1 - part) and (1 + part) of `us`. */
+static int64_t
+jittered_us(struct sl_router *router, int64_t us, double part)
+{
+    double draw = SlRandom_Unit(&router->random);
+    return (int64_t)((double)us * (1 - part + 2 * part * draw));
+}
+
+/* Pause before the next try. Those that read the store for their failure
+ * domain ask more often than the others, which would take their news. */
+static int64_t
+retry_pause_us(struct sl_router *router, const struct sl_feed_state *state)
+{
+    int64_t pause_us = Sl_READ_RETRY_US;
+    for (unsigned i = 1;
+         i < state->failures && pause_us < Sl_READ_RETRY_MAX_US; i++) {
+        pause_us *= 2;
+    }
+    size_t rank = SlPeers_DomainRank(router, Sl_STR("readers"));
+    return jittered_us(router, pause_us * (int64_t)(1 + rank / Sl_READERS),
+                       Sl_READ_JITTER);
+}
+
 static void
 on_failed(struct sl_router *router, enum sl_feed feed,
           const struct sl_error *err)
@@ -409,7 +454,13 @@
         SlLine_Error(router, err);
         SlLine_End(router, Sl_LOG_WARN);
     }
-    read_after(router, feed, Sl_READ_RETRY_US);
+    state->failures++;
+    if (waits_for_pulse(router, feed)) {
+        state->waits_for_pulse = true;
+    }
+    else {
+        read_after(router, feed, retry_pause_us(router, state));
+    }
 }
 
 /* Reads that were under way while the store was away may never be answered:
@@ -426,6 +477,20 @@
     }
 }
 
+/* The store answers again: what waited for that is read. */
+static void
+end_waits(struct sl_router *router)
+{
+    for (int i = 0; i < Sl_FEED_COUNT; i++) {
+        struct sl_feed_state *state = &router->feeds[i];
+        if (state->waits_for_pulse) {
+            state->waits_for_pulse = false;
+            read_after(router, (enum sl_feed)i,
+                       jittered_us(router, Sl_READ_SPREAD_US / 2, 1));
+        }
+    }
+}
+
 static void
 on_back(struct sl_router *router, enum sl_feed feed)
 {
@@ -437,9 +502,13 @@
                    (router->now_us - state->fail_since_us) / Sl_US_PER_MS);
         SlLine_End(router, Sl_LOG_INFO);
         state->fail_since_us = 0;
+        state->failures = 0;
         router->store_back_us = router->now_us;
         read_others_anew(router, feed);
     }
+    if (feed == Sl_PULSE) {
+        end_waits(router);
+    }
 }
 
 void
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -328,6 +328,8 @@
     uint64_t next;
     int64_t retry_us;
     int64_t fail_since_us; /* 0: the last read went well */
+    unsigned failures;     /* reads that failed in a row */
+    bool waits_for_pulse;  /* it is read again when the store answers */
     uint64_t timer;
 };
 
