Feeds: three readers of the store in the whole fleet, news by domain heads

Change: three routers, each in another failure domain by hash of those that live, read the store; news go at once to the own domain and to the head of each other one, which pulls them; others pull from their domain, or from anybody after 200 ms. Where a router stands is worked out at most each 100 ms, not with each digest.

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -90,20 +90,28 @@
     SlRollouts_Tell(router, digest);
 }
 
+/* Who is told. */
+enum sl_tell {
+    Sl_TELL_ALL,
+    Sl_TELL_DOMAIN,
+    Sl_TELL_NEWS, /* of the store: the domain, and the heads of others */
+};
+
 static bool
 is_due(const struct sl_router *router, const struct sl_router_peer *peer,
-       bool only_domain)
+       enum sl_tell tell)
 {
-    if (only_domain) {
-        return SlPeers_IsLive(router, peer) &&
-               SlName_Equal(&peer->digest.domain, &router->options.domain);
+    if (tell == Sl_TELL_ALL) {
+        return SlPeers_IsLive(router, peer) ||
+               router->now_us - peer->sent_us >= Sl_SILENT_BEAT_US;
     }
-    return SlPeers_IsLive(router, peer) ||
-           router->now_us - peer->sent_us >= Sl_SILENT_BEAT_US;
+    return SlPeers_IsLive(router, peer) &&
+           (SlName_Equal(&peer->digest.domain, &router->options.domain) ||
+            (tell == Sl_TELL_NEWS && peer->is_head));
 }
 
 static void
-tell_peers(struct sl_router *router, bool only_domain)
+tell_peers(struct sl_router *router, enum sl_tell tell)
 {
     guint peers = g_hash_table_size(router->peers);
     const struct sl_name **addresses =
@@ -117,12 +125,12 @@
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_router_peer *peer = value;
-        if (is_due(router, peer, only_domain)) {
+        if (is_due(router, peer, tell)) {
             addresses[count++] = &peer->address;
             peer->sent_us = router->now_us;
         }
     }
-    if (only_domain) {
+    if (tell == Sl_TELL_DOMAIN) {
         router->domain_peers = count;
     }
     if (count == 0) {
@@ -143,7 +151,7 @@
     (void)now_us;
     SlPeers_Forget(router);
     SlFeeds_NoteDuty(router);
-    tell_peers(router, false);
+    tell_peers(router, Sl_TELL_ALL);
     SlRollouts_Told(router);
     SlTimers_Subscribe(router->timers, router->now_us + SlPeers_BeatUs(router),
                        on_beat, router, 0);
@@ -155,9 +163,11 @@
     struct sl_router *router = context;
     (void)id;
     (void)now_us;
+    bool has_news = router->has_news;
     router->gossip_timer = 0;
     router->has_news = false;
-    tell_peers(router, true);
+    (void)SlPeers_Duties(router);
+    tell_peers(router, has_news ? Sl_TELL_NEWS : Sl_TELL_DOMAIN);
 }
 
 void
@@ -181,7 +191,7 @@
 void
 SlDigests_Leave(struct sl_router *router)
 {
-    tell_peers(router, false);
+    tell_peers(router, Sl_TELL_ALL);
 }
 
 void
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -6,12 +6,14 @@
  * store no longer has the next record, the feed starts anew. Offsets order
  * everything: a record that is older than what is known changes nothing.
  *
- * Not every router reads the store: in each failure domain a few do, chosen by
- * hash among those that live, and the others take the records from them. The
- * store may refuse one router while it serves the others, and a read that
- * waits may miss the news. Peers say how far they have read: a reader that is
- * behind reads again at once, or, while the store refuses it, takes the
- * records from a peer. A router that hears of nothing new reads for itself.
+ * Not every router reads the store: a few of the fleet do, each in another
+ * failure domain, chosen by hash among those that live. They tell the heads of
+ * the other domains of news, which take the records from them, and the others
+ * of a domain from each other. The store may refuse one router while it serves
+ * the others, and a read that waits may miss the news. Peers say how far they
+ * have read: a reader that is behind reads again at once, or, while the store
+ * refuses it, takes the records from a peer. A router that hears of no reader
+ * reads for itself.
  */
 #include "sl_router_internal.h"
 
@@ -26,11 +28,11 @@
 
 /* Pause between pulls from peers. */
 #define Sl_PULL_PAUSE_US (100 * Sl_US_PER_MS)
-/* Routers of a failure domain that read the store. With one only, its end
- * would keep the others without news until they notice. */
-#define Sl_READERS 2
-/* A router reads for itself when no reader of its failure domain has had an
- * answer of the store for so long: a read's wait, its answer and a digest. */
+/* Routers of the fleet that read the store for the others, in as many failure
+ * domains: one of them may be turned away, and another one stand still. */
+#define Sl_READERS 3
+/* A router reads for itself when no reader has had an answer of the store for
+ * so long: a read's wait, its answer and a digest. */
 #define Sl_READER_AGE_MS 2500
 #define Sl_READER_CHECK_US (300 * Sl_US_PER_MS)
 /* News reach routers at times that differ by less than this. */
@@ -126,7 +128,7 @@
                age_ms == UINT32_MAX ? -1 : (int64_t)age_ms);
 }
 
-/* Does a peer of the failure domain read the store, with success? */
+/* Does a peer read the store, with success? */
 static bool
 has_reader(const struct sl_router *router)
 {
@@ -137,20 +139,28 @@
         const struct sl_router_peer *peer = value;
         int64_t age_ms = peer->digest.store_age_ms +
                          (router->now_us - peer->heard_us) / Sl_US_PER_MS;
-        if (SlPeers_IsLive(router, peer) && age_ms < Sl_READER_AGE_MS &&
-            SlName_Equal(&peer->digest.domain, &router->options.domain)) {
+        if (SlPeers_IsLive(router, peer) && age_ms < Sl_READER_AGE_MS) {
             return true;
         }
     }
     return false;
 }
 
-/* Do others of the failure domain read the store for this router? */
+/* Is it this router's part to read the store for the others? The first ones
+ * of some failure domains do; with fewer domains, more of each. */
 static bool
-is_handed_news(const struct sl_router *router)
+is_reader(struct sl_router *router)
 {
-    return SlPeers_DomainRank(router, Sl_STR("readers")) >= Sl_READERS &&
-           has_reader(router);
+    const struct sl_duties *duties = SlPeers_Duties(router);
+    size_t each = (Sl_READERS + duties->domains - 1) / duties->domains;
+    return duties->domain_place < Sl_READERS && duties->own_rank < each;
+}
+
+/* Do others read the store for this router? */
+static bool
+is_handed_news(struct sl_router *router)
+{
+    return !is_reader(router) && has_reader(router);
 }
 
 void
@@ -160,10 +170,11 @@
     if (reads == router->reads_store) {
         return;
     }
+    const struct sl_duties *duties = SlPeers_Duties(router);
     router->reads_store = reads;
     SlLine_Begin(router, reads ? "store_reading_taken" : "store_reading_left");
-    SlLine_Int(router, "rank",
-               (int64_t)SlPeers_DomainRank(router, Sl_STR("readers")));
+    SlLine_Int(router, "rank", (int64_t)duties->own_rank);
+    SlLine_Int(router, "domains", (int64_t)duties->domains);
     SlLine_Int(router, "fleet", (int64_t)SlPeers_FleetSize(router));
     SlFeeds_AddAge(router);
     SlLine_End(router, Sl_LOG_INFO);
@@ -407,8 +418,11 @@
     for (size_t i = 0; i < event->u.feed.count; i++) {
         take_record(router, feed, &event->u.feed.records[i]);
     }
-    if (event->u.feed.end > state->next) {
-        /* Peers of the failure domain may wait for it. */
+    if (event->u.feed.end > state->next &&
+        (event->type == Sl_REV_FEED ||
+         SlPeers_Duties(router)->own_rank == 0)) {
+        /* Others wait for it. Who took it from a peer of its domain has
+         * nothing to tell that the domain does not know. */
         router->has_news = true;
     }
     state->synced = true;
@@ -437,9 +451,9 @@
          i < state->failures && pause_us < Sl_READ_RETRY_MAX_US; i++) {
         pause_us *= 2;
     }
-    size_t rank = SlPeers_DomainRank(router, Sl_STR("readers"));
-    return jittered_us(router, pause_us * (int64_t)(1 + rank / Sl_READERS),
-                       Sl_READ_JITTER);
+    const struct sl_duties *duties = SlPeers_Duties(router);
+    size_t turn = is_reader(router) ? 0 : 1 + duties->own_rank;
+    return jittered_us(router, pause_us * (int64_t)(1 + turn), Sl_READ_JITTER);
 }
 
 static void
@@ -608,21 +622,41 @@
     pull(router, feed, digest);
 }
 
+/* Has it been behind for so long that its domain will not hand it the news? */
+static bool
+is_left_behind(struct sl_router *router, enum sl_feed feed)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (state->behind_us == 0) {
+        state->behind_us = router->now_us;
+    }
+    return router->now_us - state->behind_us >= Sl_BEHIND_US;
+}
+
+/* May the records come from that peer? Its own domain goes first, so that few
+ * bytes pass between domains. */
+static bool
+may_pull_from(struct sl_router *router, enum sl_feed feed,
+              const struct sl_gossip *digest)
+{
+    return SlName_Equal(&digest->domain, &router->options.domain) ||
+           SlPeers_Duties(router)->own_rank == 0 ||
+           is_left_behind(router, feed);
+}
+
 void
 SlFeeds_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
 {
-    bool is_handed = is_handed_news(router) &&
-                     SlName_Equal(&digest->domain, &router->options.domain);
     for (int i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         enum sl_feed feed = (enum sl_feed)i;
         if (digest->offsets[i] <= router->feeds[i].next) {
             continue;
         }
-        if (is_handed) {
-            pull(router, feed, digest);
-        }
-        else {
+        if (!is_handed_news(router)) {
             catch_up(router, feed, digest);
         }
+        else if (may_pull_from(router, feed, digest)) {
+            pull(router, feed, digest);
+        }
     }
 }
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -89,10 +89,105 @@
     return rank_of(router, key, false);
 }
 
-size_t
-SlPeers_DomainRank(const struct sl_router *router, struct sl_str key)
+/* ---- duties ---- */
+
+/* Duties are worked out again this often: peers lapse as time passes. */
+#define Sl_DUTY_AGE_US (100 * Sl_US_PER_MS)
+/* Key of the order in which a domain's routers are its head. */
+#define Sl_HEAD_KEY Sl_STR("readers")
+
+/* A failure domain with routers that live. */
+struct sl_live_domain {
+    struct sl_name name;
+    uint64_t weight; /* of the domain among the others */
+    uint64_t head_weight;
+    struct sl_router_peer *head; /* NULL: this router, or none yet */
+};
+
+static struct sl_live_domain *
+domain_of(GArray *domains, const struct sl_name *name)
+{
+    for (guint i = 0; i < domains->len; i++) {
+        struct sl_live_domain *domain =
+            &g_array_index(domains, struct sl_live_domain, i);
+        if (SlName_Equal(&domain->name, name)) {
+            return domain;
+        }
+    }
+    struct sl_live_domain domain = {
+        .name = *name,
+        .weight = SlHash_Rendezvous(Sl_HEAD_KEY, SlName_Str(name)),
+    };
+    g_array_append_val(domains, domain);
+    return &g_array_index(domains, struct sl_live_domain, domains->len - 1);
+}
+
+/* Marks each domain's head among the peers, and gives the domains. */
+static GArray *
+find_heads(struct sl_router *router)
+{
+    GArray *domains = g_array_new(FALSE, FALSE, sizeof(struct sl_live_domain));
+    struct sl_live_domain *own = domain_of(domains, &router->options.domain);
+    GHashTableIter iter;
+    gpointer value;
+    own->head_weight =
+        SlHash_Rendezvous(Sl_HEAD_KEY, SlName_Str(&router->options.vm));
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_router_peer *peer = value;
+        peer->is_head = false;
+        if (!SlPeers_IsLive(router, peer) || peer->digest.boot == 0) {
+            continue;
+        }
+        struct sl_live_domain *domain =
+            domain_of(domains, &peer->digest.domain);
+        uint64_t weight =
+            SlHash_Rendezvous(Sl_HEAD_KEY, SlName_Str(&peer->vm));
+        if (weight > domain->head_weight) {
+            domain->head_weight = weight;
+            domain->head = peer;
+        }
+    }
+    for (guint i = 0; i < domains->len; i++) {
+        struct sl_router_peer *head =
+            g_array_index(domains, struct sl_live_domain, i).head;
+        if (head != NULL) {
+            head->is_head = true;
+        }
+    }
+    return domains;
+}
+
+static void
+refresh_duties(struct sl_router *router)
+{
+    struct sl_duties *duties = &router->duties;
+    if (duties->at_us != 0 &&
+        router->now_us - duties->at_us < Sl_DUTY_AGE_US) {
+        return;
+    }
+    GArray *domains = find_heads(router);
+    const struct sl_live_domain *own =
+        &g_array_index(domains, struct sl_live_domain, 0);
+    duties->at_us = router->now_us;
+    duties->domains = domains->len;
+    duties->domain_place = 0;
+    for (guint i = 1; i < domains->len; i++) {
+        duties->domain_place +=
+            g_array_index(domains, struct sl_live_domain, i).weight >
+                    own->weight
+                ? 1
+                : 0;
+    }
+    duties->own_rank = rank_of(router, Sl_HEAD_KEY, true);
+    g_array_free(domains, TRUE);
+}
+
+const struct sl_duties *
+SlPeers_Duties(struct sl_router *router)
 {
-    return rank_of(router, key, true);
+    refresh_duties(router);
+    return &router->duties;
 }
 
 static struct sl_router_peer *
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -146,9 +146,18 @@
     int64_t heard_us; /* or when it was first heard of */
     int64_t sent_us;
     bool is_up;              /* as last logged */
+    bool is_head;            /* the first of its failure domain */
     struct sl_gossip digest; /* the newest; boot 0: none yet */
 };
 
+/* Where this router stands among those that live. */
+struct sl_duties {
+    int64_t at_us;       /* when it was worked out; 0: never */
+    size_t domains;      /* failure domains with routers that live */
+    size_t domain_place; /* of the own one among them; 0 is the first */
+    size_t own_rank;     /* in it; 0: this router is its head */
+};
+
 /* ---- roll-outs ---- */
 
 /* Answers that could show a sign of badness, and those that did. */
@@ -372,6 +381,7 @@
     GHashTable *repeats;   /* service name -> struct sl_repeat_window, owned */
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
     GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
+    struct sl_duties duties;
     bool peers_changed;    /* the sums at upstreams are out of date */
     GHashTable *by_key;    /* key -> struct sl_upstream */
     uint64_t member_token; /* append of the own member record */
@@ -617,8 +627,9 @@
 /* This router's place among those that live, by `key`: 0 is the first to
  * act. */
 size_t SlPeers_Rank(const struct sl_router *router, struct sl_str key);
-/* The same among those of the own failure domain. */
-size_t SlPeers_DomainRank(const struct sl_router *router, struct sl_str key);
+/* Where this router stands, not older than 100 ms; the heads of the other
+ * failure domains are marked among the peers. */
+const struct sl_duties *SlPeers_Duties(struct sl_router *router);
 bool SlPeers_IsLive(const struct sl_router *router,
                     const struct sl_router_peer *peer);
 /* Brings the sums at upstreams up to date. */
