Starts from peers, and entries that lapse only with a store that was away

A router that starts asks up to three others, which the platform names, for the fleet (they answer with a digest and name others) and takes configuration, registrations and roll-outs from one whose news are fresh; the store is asked after 80 ms without an answer, after a second at the first start of the whole fleet. Digests say how old the news are that a router has, its own or handed over. It is written to the store up to 2.5 s later, and the list of the others is read only by heads of domains and by those that met nobody. Cause: a router that the store had turned away took it for away, and an upstream whose entry had gone for one that may come back, though peers read the store all the time. Change: entries lapse only after a store that answered nobody of the fleet for 2.5 s.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -23,6 +23,11 @@
 
 #define Sl_DIGEST_FIELDS 11
 #define Sl_LOAD_FIELDS 3
+#define Sl_INTRODUCTION_FIELDS 2
+#define Sl_MEMBER_FIELDS 2
+/* Of an introduction without its members, and of one without its names. */
+#define Sl_INTRODUCTION_BYTES 16
+#define Sl_MEMBER_BYTES 8
 #define Sl_ROLLOUT_FIELDS 9
 #define Sl_TALLY_FIELDS (1 + 4 * Sl_SIGNS)
 
@@ -121,7 +126,7 @@
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         msgpack_pack_uint64(packer, digest->offsets[i]);
     }
-    msgpack_pack_uint32(packer, digest->store_age_ms);
+    msgpack_pack_uint32(packer, digest->news_age_ms);
     msgpack_pack_array(packer, loads);
     for (size_t i = 0; i < loads; i++) {
         msgpack_pack_array(packer, Sl_LOAD_FIELDS);
@@ -304,7 +309,7 @@
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = next_uint(&offsets);
     }
-    digest->store_age_ms = next_uint32(&fields);
+    digest->news_age_ms = next_uint32(&fields);
     struct sl_items loads = next_array(&fields, Sl_GOSSIP_MAX_LOADS);
     while (loads.ok && loads.left > 0) {
         if (!decode_load(next_array(&loads, Sl_LOAD_FIELDS),
@@ -356,3 +361,73 @@
     msgpack_unpacked_destroy(&unpacked);
     return code;
 }
+
+/* ---- introductions ---- */
+
+size_t
+SlIntroduction_Encode(const struct sl_introduced *members, size_t count,
+                      struct sl_buf *out)
+{
+    msgpack_packer packer;
+    size_t room = Sl_GOSSIP_MAX_BYTES - Sl_INTRODUCTION_BYTES;
+    size_t taken = 0;
+    for (; taken < MIN(count, Sl_MAX_INTRODUCED); taken++) {
+        size_t bytes = Sl_MEMBER_BYTES + members[taken].vm.len +
+                       members[taken].address.len;
+        if (bytes > room) {
+            break;
+        }
+        room -= bytes;
+    }
+    msgpack_packer_init(&packer, out, write_bytes);
+    msgpack_pack_array(&packer, Sl_INTRODUCTION_FIELDS);
+    msgpack_pack_int(&packer, Sl_GOSSIP_VERSION);
+    msgpack_pack_array(&packer, taken);
+    for (size_t i = 0; i < taken; i++) {
+        msgpack_pack_array(&packer, Sl_MEMBER_FIELDS);
+        pack_name(&packer, &members[i].vm);
+        pack_name(&packer, &members[i].address);
+    }
+    return taken;
+}
+
+static bool
+decode_introduction(struct sl_items fields, struct sl_introduced *members,
+                    size_t *count)
+{
+    if (fields.left != Sl_INTRODUCTION_FIELDS ||
+        next_uint(&fields) != Sl_GOSSIP_VERSION) {
+        return false;
+    }
+    struct sl_items list = next_array(&fields, Sl_MAX_INTRODUCED);
+    *count = 0;
+    while (list.ok && list.left > 0) {
+        struct sl_items member = next_array(&list, Sl_MEMBER_FIELDS);
+        members[*count].vm = next_name(&member);
+        members[*count].address = next_name(&member);
+        if (!member.ok || SlName_IsEmpty(&members[*count].vm)) {
+            return false;
+        }
+        (*count)++;
+    }
+    return fields.ok && list.ok;
+}
+
+bool
+SlIntroduction_Decode(struct sl_str bytes, struct sl_introduced *members,
+                      size_t *count)
+{
+    msgpack_unpacked unpacked;
+    size_t at = 0;
+    bool ok = false;
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, bytes.ptr, bytes.len, &at) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        at == bytes.len && unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
+        struct sl_items fields = {unpacked.data.via.array.ptr,
+                                  unpacked.data.via.array.size, true};
+        ok = decode_introduction(fields, members, count);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return ok;
+}
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -9,7 +9,8 @@
  * Sections:
  *   1. Digest   what a datagram says
  *   2. Codec    to bytes and back
- *   3. Pages    records of the store that one router hands to another, for
+ *   3. Members  routers that one tells a new one of
+ *   4. Pages    records of the store that one router hands to another, for
  *               when the store refuses some of them; over a connection
  */
 #ifndef Sl_GOSSIP_H
@@ -17,7 +18,7 @@
 
 #include "sl_common.h"
 
-#define Sl_GOSSIP_VERSION 4
+#define Sl_GOSSIP_VERSION 5
 /* Below the payload of one Ethernet frame, so that none is fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
 
@@ -100,7 +101,9 @@
     uint64_t sequence; /* grows by one with each datagram of this boot */
     bool leaving;
     uint64_t offsets[Sl_GOSSIP_FEEDS]; /* next record of each feed */
-    uint32_t store_age_ms; /* since the store last answered the sender */
+    /* Since the store last answered the sender, or a router whose news the
+     * sender has. */
+    uint32_t news_age_ms;
     size_t load_count;
     struct sl_gossip_load loads[Sl_GOSSIP_MAX_LOADS];
     size_t fault_count;
@@ -117,7 +120,26 @@
 enum sl_errno SlGossip_Decode(struct sl_str bytes, struct sl_gossip *digest,
                               struct sl_error *err);
 
-/* ---- 3. Pages --------------------------------------------------------- */
+/* ---- 3. Members ------------------------------------------------------ */
+
+/* Members of one datagram: as many as fit, this many at most. */
+#define Sl_MAX_INTRODUCED 40
+
+/* A router that the sender believes to live. */
+struct sl_introduced {
+    struct sl_name vm;
+    struct sl_name address; /* "IP:PORT" for datagrams */
+};
+
+/* Appends the bytes of a datagram; returns how many members it holds. */
+size_t SlIntroduction_Encode(const struct sl_introduced *members, size_t count,
+                             struct sl_buf *out);
+/* False when the bytes are no such datagram; a digest is none. `members` has
+ * room for Sl_MAX_INTRODUCED. */
+bool SlIntroduction_Decode(struct sl_str bytes, struct sl_introduced *members,
+                           size_t *count);
+
+/* ---- 4. Pages --------------------------------------------------------- */
 
 /* The newest record of a key, as stored. */
 struct sl_page_record {
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -19,6 +19,18 @@
  * hearing of each other meet through them. */
 #define Sl_MEMBERS_AGAIN_US (60 * Sl_US_PER_S)
 
+/* A router that has asked others for the fleet is written to the store a
+ * little later: for those that start while none of these live. */
+#define Sl_REGISTER_AFTER_US (500 * Sl_US_PER_MS)
+#define Sl_REGISTER_SPREAD_US (2 * Sl_US_PER_S)
+
+/* Has it met others by asking them? */
+static bool
+has_met_others(const struct sl_router *router)
+{
+    return router->options.seed_count > 0 && SlPeers_FleetSize(router) > 1;
+}
+
 /* ---- digests ---- */
 
 static void
@@ -83,7 +95,7 @@
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = router->feeds[i].next;
     }
-    digest->store_age_ms = SlFeeds_StoreAgeMs(router);
+    digest->news_age_ms = SlFeeds_NewsAgeMs(router);
     fill_loads(router, digest);
     fill_faults(router, digest);
     digest->rollout_count = 0;
@@ -143,6 +155,70 @@
     effect->u.gossip.addresses = addresses;
 }
 
+/* Sends a digest to one address. */
+static void
+tell_one(struct sl_router *router, const struct sl_name *address)
+{
+    struct sl_gossip *digest = g_new0(struct sl_gossip, 1);
+    struct sl_name *copy = g_memdup2(address, sizeof(*address));
+    const struct sl_name **addresses = g_new0(const struct sl_name *, 1);
+    SlOutbox_Keep(router, digest);
+    SlOutbox_Keep(router, copy);
+    SlOutbox_Keep(router, addresses);
+    addresses[0] = copy;
+    fill_digest(router, digest);
+    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_GOSSIP);
+    effect->u.gossip.digest = digest;
+    effect->u.gossip.count = 1;
+    effect->u.gossip.addresses = addresses;
+}
+
+/* Names others to a peer that has just started. */
+static void
+introduce(struct sl_router *router, const struct sl_gossip *digest)
+{
+    GArray *members = g_array_new(FALSE, FALSE, sizeof(struct sl_introduced));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        if (SlPeers_IsLive(router, peer) && peer->digest.boot != 0 &&
+            !SlName_Equal(&peer->vm, &digest->vm)) {
+            struct sl_introduced member = {peer->vm, peer->address};
+            g_array_append_val(members, member);
+        }
+    }
+    /* Others name other ones, so that together they name all. */
+    for (guint i = members->len; i > 1; i--) {
+        guint j = SlRandom_Below(&router->random, i);
+        struct sl_introduced *all = (struct sl_introduced *)members->data;
+        struct sl_introduced swapped = all[i - 1];
+        all[i - 1] = all[j];
+        all[j] = swapped;
+    }
+    if (members->len > 0) {
+        struct sl_router_effect *effect =
+            SlOutbox_Add(router, Sl_RFX_INTRODUCE);
+        effect->u.introduce.address = digest->address;
+        effect->u.introduce.count = MIN(members->len, Sl_MAX_INTRODUCED);
+        effect->u.introduce.members =
+            (const struct sl_introduced *)members->data;
+    }
+    SlOutbox_Keep(router, g_array_free(members, FALSE));
+}
+
+void
+SlDigests_OnIntroduced(struct sl_router *router,
+                       const struct sl_introduced *members, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (SlPeers_OnIntroduced(router, &members[i])) {
+            tell_one(router, &members[i].address);
+        }
+    }
+}
+
 static void
 on_beat(void *context, uint64_t id, int64_t now_us)
 {
@@ -197,9 +273,14 @@
 void
 SlDigests_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
 {
-    if (!SlPeers_Take(router, digest)) {
+    enum sl_taken taken = SlPeers_Take(router, digest);
+    if (taken == Sl_TAKEN_NOT) {
         return;
     }
+    if (taken == Sl_TAKEN_START) {
+        tell_one(router, &digest->address);
+        introduce(router, digest);
+    }
     router->bytes_us = router->now_us;
     SlFeeds_OnDigest(router, digest);
     for (size_t i = 0; i < digest->fault_count; i++) {
@@ -218,13 +299,15 @@
     struct sl_router *router = context;
     (void)id;
     (void)now_us;
-    SlFeeds_Read(router, Sl_FEED_MEMBERS);
+    if (!has_met_others(router) || SlPeers_Duties(router)->own_rank == 0) {
+        SlFeeds_Read(router, Sl_FEED_MEMBERS);
+    }
     SlTimers_Subscribe(router->timers, router->now_us + Sl_MEMBERS_AGAIN_US,
                        on_members_again, router, 0);
 }
 
-void
-SlDigests_Start(struct sl_router *router)
+static void
+register_member(struct sl_router *router)
 {
     struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_APPEND);
     struct sl_record *record = &effect->u.append.record;
@@ -235,6 +318,45 @@
     record->u.member.vm = router->options.vm;
     record->u.member.domain = router->options.domain;
     record->u.member.address = router->options.peer_address;
+}
+
+static void
+on_register(void *context, uint64_t id, int64_t now_us)
+{
+    (void)id;
+    (void)now_us;
+    register_member(context);
+}
+
+/* Asks some routers for the others; returns how many. */
+static size_t
+greet_seeds(struct sl_router *router)
+{
+    const struct sl_router_options *options = &router->options;
+    size_t greeted = 0;
+    for (size_t i = 0; i < options->seed_count; i++) {
+        if (!SlName_Equal(&options->seeds[i], &options->peer_address)) {
+            tell_one(router, &options->seeds[i]);
+            greeted++;
+        }
+    }
+    return greeted;
+}
+
+void
+SlDigests_Start(struct sl_router *router)
+{
+    if (greet_seeds(router) == 0) {
+        register_member(router);
+    }
+    else {
+        int64_t after_us = SlRandom_Below(
+            &router->random, (uint32_t)(Sl_REGISTER_SPREAD_US / Sl_US_PER_MS));
+        SlTimers_Subscribe(router->timers,
+                           router->now_us + Sl_REGISTER_AFTER_US +
+                               after_us * Sl_US_PER_MS,
+                           on_register, router, 0);
+    }
     SlTimers_Subscribe(router->timers, router->now_us + SlPeers_BeatUs(router),
                        on_beat, router, 0);
     SlTimers_Subscribe(router->timers, router->now_us + Sl_MEMBERS_AGAIN_US,
@@ -251,5 +373,7 @@
     }
     /* After the own record is there: of two routers that start at once, at
      * least one then finds the other. */
-    SlFeeds_Read(router, Sl_FEED_MEMBERS);
+    if (!has_met_others(router)) {
+        SlFeeds_Read(router, Sl_FEED_MEMBERS);
+    }
 }
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -35,6 +35,13 @@
  * so long: a read's wait, its answer and a digest. */
 #define Sl_READER_AGE_MS 2500
 #define Sl_READER_CHECK_US (300 * Sl_US_PER_MS)
+/* A store that answered nobody for so long was away. Entries lapse after three
+ * heartbeats, which take longer. */
+#define Sl_AWAY_US (2500 * Sl_US_PER_MS)
+/* A router that starts asks the store unless a peer answers its digest by
+ * then; when all of them start, there is no hurry. */
+#define Sl_HELLO_WAIT_US (80 * Sl_US_PER_MS)
+#define Sl_FIRST_WAIT_US Sl_US_PER_S
 /* News reach routers at times that differ by less than this. */
 #define Sl_BEHIND_US (200 * Sl_US_PER_MS)
 /* A router without live peers hears of missed news from nobody. */
@@ -110,40 +117,46 @@
 static void read_after(struct sl_router *router, enum sl_feed feed,
                        int64_t after_us);
 
-uint32_t
-SlFeeds_StoreAgeMs(const struct sl_router *router)
+/* UINT32_MAX when it has never been. */
+static uint32_t
+age_ms(const struct sl_router *router, int64_t at_us)
 {
-    if (router->store_seen_us == 0) {
+    if (at_us == 0) {
         return UINT32_MAX;
     }
-    int64_t age_us = router->now_us - router->store_seen_us;
+    int64_t age_us = router->now_us - at_us;
     return (uint32_t)MIN(age_us / Sl_US_PER_MS, (int64_t)UINT32_MAX - 1);
 }
 
-void
-SlFeeds_AddAge(struct sl_router *router)
+uint32_t
+SlFeeds_StoreAgeMs(const struct sl_router *router)
 {
-    uint32_t age_ms = SlFeeds_StoreAgeMs(router);
-    SlLine_Int(router, "store_age_ms",
-               age_ms == UINT32_MAX ? -1 : (int64_t)age_ms);
+    return age_ms(router, router->store_seen_us);
 }
 
-/* Does a peer read the store, with success? */
-static bool
-has_reader(const struct sl_router *router)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, router->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct sl_router_peer *peer = value;
-        int64_t age_ms = peer->digest.store_age_ms +
-                         (router->now_us - peer->heard_us) / Sl_US_PER_MS;
-        if (SlPeers_IsLive(router, peer) && age_ms < Sl_READER_AGE_MS) {
-            return true;
-        }
+/* When the store last answered a router whose news this one has, as far as
+ * peers have told; 0: never. */
+static int64_t
+handed_us(const struct sl_router *router)
+{
+    int64_t oldest_us = INT64_MAX;
+    for (int i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+        oldest_us = MIN(oldest_us, router->feeds[i].handed_us);
     }
-    return false;
+    return oldest_us;
+}
+
+uint32_t
+SlFeeds_NewsAgeMs(const struct sl_router *router)
+{
+    return age_ms(router, MAX(router->store_seen_us, handed_us(router)));
+}
+
+void
+SlFeeds_AddAge(struct sl_router *router)
+{
+    uint32_t age = SlFeeds_StoreAgeMs(router);
+    SlLine_Int(router, "store_age_ms", age == UINT32_MAX ? -1 : (int64_t)age);
 }
 
 /* Is it this router's part to read the store for the others? The first ones
@@ -160,7 +173,8 @@
 static bool
 is_handed_news(struct sl_router *router)
 {
-    return !is_reader(router) && has_reader(router);
+    return !is_reader(router) &&
+           age_ms(router, handed_us(router)) < Sl_READER_AGE_MS;
 }
 
 void
@@ -198,6 +212,9 @@
     if (waits_for_pulse(router, (enum sl_feed)id)) {
         router->feeds[id].waits_for_pulse = true;
     }
+    else if (!router->feeds[id].synced && router->feeds[id].pulling) {
+        read_after(router, (enum sl_feed)id, Sl_HELLO_WAIT_US);
+    }
     else if (router->feeds[id].synced && is_handed_news(router)) {
         read_after(router, (enum sl_feed)id, Sl_READER_CHECK_US);
     }
@@ -235,13 +252,34 @@
     }
 }
 
+/* How long peers are waited for before the store is asked. */
+static int64_t
+start_wait_us(const struct sl_router *router)
+{
+    const struct sl_router_options *options = &router->options;
+    bool is_seed = SlName_IsListed(options->seeds, options->seed_count,
+                                   &options->peer_address);
+    if (options->seed_count == (is_seed ? 1 : 0)) {
+        return 0; /* nobody is asked */
+    }
+    if (options->is_first_start) {
+        return is_seed ? 0 : Sl_FIRST_WAIT_US;
+    }
+    return Sl_HELLO_WAIT_US;
+}
+
 void
 SlFeeds_Start(struct sl_router *router)
 {
-    for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
-        router->feeds[feed].kept = SlKept_New();
-        if (rules[feed].follow) {
-            read_feed(router, (enum sl_feed)feed);
+    int64_t wait_us = start_wait_us(router);
+    for (int i = 0; i < Sl_FEED_COUNT; i++) {
+        enum sl_feed feed = (enum sl_feed)i;
+        router->feeds[i].kept = SlKept_New();
+        if (rules[feed].follow && wait_us == 0) {
+            read_feed(router, feed);
+        }
+        else if (rules[feed].follow) {
+            read_after(router, feed, wait_us);
         }
     }
 }
@@ -505,6 +543,18 @@
     }
 }
 
+/* The store has answered some router at that time. After a while in which it
+ * answered nobody, entries may have lapsed with it. */
+static void
+note_answered(struct sl_router *router, int64_t at_us)
+{
+    if (at_us - router->answered_us >= Sl_AWAY_US &&
+        router->answered_us != 0) {
+        router->store_back_us = router->now_us;
+    }
+    router->answered_us = MAX(router->answered_us, at_us);
+}
+
 static void
 on_back(struct sl_router *router, enum sl_feed feed)
 {
@@ -517,7 +567,6 @@
         SlLine_End(router, Sl_LOG_INFO);
         state->fail_since_us = 0;
         state->failures = 0;
-        router->store_back_us = router->now_us;
         read_others_anew(router, feed);
     }
     if (feed == Sl_PULSE) {
@@ -536,6 +585,7 @@
         return;
     }
     router->store_seen_us = router->now_us;
+    note_answered(router, router->now_us);
     on_back(router, feed);
     if (event->u.feed.truncated) {
         SlLine_Begin(router, "feed_restarted");
@@ -574,11 +624,8 @@
     }
     SlLine_End(router, level);
     if (event->err == NULL) {
-        if (state->fail_since_us != 0) {
-            /* The store is back for the peer: what lapsed may come back. */
-            router->store_back_us = router->now_us;
-        }
         take_page(router, event);
+        state->handed_us = MAX(state->handed_us, state->pull_at_us);
     }
 }
 
@@ -595,6 +642,10 @@
     effect->u.pull.feed = feed;
     effect->u.pull.from = state->synced ? state->next : 0;
     state->pulling = true;
+    state->pull_at_us =
+        digest->news_age_ms == UINT32_MAX
+            ? 0
+            : router->now_us - digest->news_age_ms * Sl_US_PER_MS;
     state->pull_us = router->now_us + Sl_PULL_PAUSE_US;
 }
 
@@ -644,11 +695,50 @@
            is_left_behind(router, feed);
 }
 
+/* This router has just started, and the peer has news. */
+static void
+take_first(struct sl_router *router, enum sl_feed feed,
+           const struct sl_gossip *digest)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    bool is_fresh = digest->news_age_ms < Sl_READER_AGE_MS;
+    if (!is_fresh && state->fail_since_us == 0) {
+        return; /* the store knows better, if it answers */
+    }
+    if (digest->offsets[feed] > 0) {
+        pull(router, feed, digest);
+    }
+    else if (is_fresh && digest->offsets[Sl_FEED_UPSTREAMS] > 0) {
+        state->synced = true; /* nothing was ever written to it */
+        state->handed_us = router->now_us - digest->news_age_ms * Sl_US_PER_MS;
+    }
+}
+
+static void
+note_freshness(struct sl_router *router, const struct sl_gossip *digest)
+{
+    if (digest->news_age_ms == UINT32_MAX) {
+        return;
+    }
+    int64_t at_us = router->now_us - digest->news_age_ms * Sl_US_PER_MS;
+    note_answered(router, at_us);
+    for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
+        struct sl_feed_state *state = &router->feeds[i];
+        if (state->synced && digest->offsets[i] <= state->next) {
+            state->handed_us = MAX(state->handed_us, at_us);
+        }
+    }
+}
+
 void
 SlFeeds_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
 {
+    note_freshness(router, digest);
     for (int i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         enum sl_feed feed = (enum sl_feed)i;
+        if (!router->feeds[i].synced) {
+            take_first(router, feed, digest);
+        }
         if (digest->offsets[i] <= router->feeds[i].next) {
             continue;
         }
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -263,18 +263,22 @@
     }
 }
 
-bool
+enum sl_taken
 SlPeers_Take(struct sl_router *router, const struct sl_gossip *digest)
 {
     if (SlName_Equal(&digest->vm, &router->options.vm)) {
-        return false;
+        return Sl_TAKEN_NOT;
     }
     struct sl_router_peer *peer =
         find_or_add(router, &digest->vm, &digest->address);
     bool was_live = SlPeers_IsLive(router, peer) && peer->digest.boot != 0;
     if (peer->digest.boot == digest->boot &&
         digest->sequence <= peer->digest.sequence) {
-        return false; /* late */
+        return Sl_TAKEN_NOT; /* late */
+    }
+    bool is_new = peer->digest.boot != digest->boot;
+    if (is_new || digest->leaving != peer->digest.leaving) {
+        router->duties.at_us = 0;
     }
     peer->digest = *digest;
     peer->heard_us = router->now_us;
@@ -283,6 +287,18 @@
         peer->is_up = !digest->leaving;
         log_peer(router, peer, digest->leaving ? "peer_leaving" : "peer_up");
     }
+    return is_new && !digest->leaving ? Sl_TAKEN_START : Sl_TAKEN_NEWS;
+}
+
+bool
+SlPeers_OnIntroduced(struct sl_router *router,
+                     const struct sl_introduced *member)
+{
+    if (SlName_Equal(&member->vm, &router->options.vm) ||
+        g_hash_table_contains(router->peers, &member->vm)) {
+        return false;
+    }
+    (void)find_or_add(router, &member->vm, &member->address);
     return true;
 }
 
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -238,6 +238,10 @@
     case Sl_REV_PULLED:
         SlFeeds_OnPulled(router, event);
         break;
+    case Sl_REV_INTRODUCED:
+        SlDigests_OnIntroduced(router, event->u.introduced.members,
+                               event->u.introduced.count);
+        break;
     case Sl_REV_GOSSIP:
         SlDigests_OnDigest(router, event->u.gossip);
         break;
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -53,6 +53,9 @@
     struct sl_name region;
 };
 
+/* Routers that a new one asks for the others. */
+#define Sl_MAX_SEEDS 3
+
 struct sl_router_options {
     struct sl_name vm;
     struct sl_name domain;
@@ -60,6 +63,9 @@
     size_t domain_count;
     struct sl_domain domains[Sl_MAX_DOMAINS];
     struct sl_name peer_address; /* "IP:PORT" at which peers reach us */
+    size_t seed_count;
+    struct sl_name seeds[Sl_MAX_SEEDS]; /* the same of some others */
+    bool is_first_start; /* all routers start: there is time to wait */
     struct sl_bounds bounds;
     size_t max_kept_bytes; /* of answers in hand; 0: no bound */
     uint64_t boot;         /* random, never 0; differs at every start */
@@ -228,6 +234,7 @@
     Sl_REV_FEED,        /* u.feed: answer to a read, or `err` */
     Sl_REV_APPENDED,    /* u.appended, or `err` */
     Sl_REV_GOSSIP,      /* u.gossip: a peer's digest */
+    Sl_REV_INTRODUCED,  /* u.introduced: a peer names others */
     Sl_REV_PULL,        /* u.pull: a peer asks for records */
     Sl_REV_PULLED,      /* u.feed: a peer's answer to a pull, or `err` */
 };
@@ -265,6 +272,10 @@
             uint64_t end;
         } appended;
         const struct sl_gossip *gossip;
+        struct {
+            size_t count;
+            const struct sl_introduced *members;
+        } introduced;
         struct {
             uint64_t conn; /* of the peer */
             enum sl_feed feed;
@@ -290,6 +301,7 @@
     Sl_RFX_READ_CANCEL, /* u.read.feed: no answer to its read any more */
     Sl_RFX_APPEND,      /* u.append; answer: APPENDED */
     Sl_RFX_GOSSIP,      /* u.gossip: a digest to several peers */
+    Sl_RFX_INTRODUCE,   /* u.introduce: names others to a peer */
     Sl_RFX_PULL,        /* u.pull: ask a peer for records; answer: PULLED */
     Sl_RFX_PAGE,        /* u.page: answer to a peer's pull */
     Sl_RFX_LOG,         /* u.line */
@@ -364,6 +376,11 @@
             size_t count;
             const struct sl_name *const *addresses;
         } gossip;
+        struct {
+            struct sl_name address;
+            size_t count;
+            const struct sl_introduced *members; /* most wanted first */
+        } introduce;
         struct {
             struct sl_name address;
             enum sl_feed feed;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -327,11 +327,13 @@
 struct sl_feed_state {
     GHashTable *kept; /* key -> struct sl_kept_record, owned */
     bool reading;
-    int64_t asked_us;  /* when the newest read was asked for */
-    bool pulling;      /* from a peer */
-    int64_t pull_us;   /* earliest next pull */
-    int64_t behind_us; /* since when a peer is known to be ahead; 0: none */
-    bool synced;       /* a snapshot was read */
+    int64_t asked_us;   /* when the newest read was asked for */
+    bool pulling;       /* from a peer */
+    int64_t pull_at_us; /* up to when that peer's news go; 0: not known */
+    int64_t handed_us;  /* up to when those go that peers handed over */
+    int64_t pull_us;    /* earliest next pull */
+    int64_t behind_us;  /* since when a peer is known to be ahead; 0: none */
+    bool synced;        /* a snapshot was read */
     uint64_t complete_from; /* drops of keys are known from this offset on */
     bool refreshing; /* since a stall nothing has told that it is current */
     uint64_t next;
@@ -361,7 +363,9 @@
 
     struct sl_feed_state feeds[Sl_FEED_COUNT];
     int64_t store_seen_us; /* when it last answered; 0: never */
-    int64_t store_back_us; /* when the store last came back; 0: never away */
+    int64_t answered_us;   /* when it last answered any router; 0: never */
+    int64_t store_back_us; /* when it last came back for the fleet; 0: it was
+                              never away */
     bool reads_store;      /* for its failure domain, as last logged */
     int64_t refresh_until_us; /* a refresh of feeds is waited for until then */
     struct sl_routing *routing; /* NULL until one is known */
@@ -617,8 +621,17 @@
 /* A member record was read. */
 void SlPeers_OnMember(struct sl_router *router,
                       const struct sl_member *member);
-/* Takes a digest; false when it is no news. */
-bool SlPeers_Take(struct sl_router *router, const struct sl_gossip *digest);
+enum sl_taken {
+    Sl_TAKEN_NOT, /* it is late */
+    Sl_TAKEN_NEWS,
+    Sl_TAKEN_START, /* the first one of a peer, or of its new start */
+};
+
+enum sl_taken SlPeers_Take(struct sl_router *router,
+                           const struct sl_gossip *digest);
+/* A peer has named a router; is it a new one? */
+bool SlPeers_OnIntroduced(struct sl_router *router,
+                          const struct sl_introduced *member);
 /* Routers that are believed to live, this one included. */
 size_t SlPeers_FleetSize(const struct sl_router *router);
 /* Routers among which the fleet's allowances are split: also those that have
@@ -899,6 +912,9 @@
                             const struct sl_error *err);
 /* The own load has changed: peers of the failure domain are told soon. */
 void SlDigests_Soon(struct sl_router *router);
+/* A peer has named others. */
+void SlDigests_OnIntroduced(struct sl_router *router,
+                            const struct sl_introduced *members, size_t count);
 /* Tells all peers that this router leaves. */
 void SlDigests_Leave(struct sl_router *router);
 void SlDigests_OnDigest(struct sl_router *router,
@@ -921,6 +937,8 @@
 void SlFeeds_NoteDuty(struct sl_router *router);
 /* Time since the store last answered; UINT32_MAX: it never did. */
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
+/* The same, or since it last answered one whose news this router has. */
+uint32_t SlFeeds_NewsAgeMs(const struct sl_router *router);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
 /* A peer has answered our pull. */
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -545,6 +545,7 @@
                                                     : NULL);
         break;
     case Sl_RFX_GOSSIP:
+    case Sl_RFX_INTRODUCE:
     case Sl_RFX_PULL:
     case Sl_RFX_PAGE:
         SlRouterPeers_Perform(shell->peers, effect);
@@ -592,12 +593,15 @@
         .bounds = settings->bounds,
         .max_kept_bytes =
             (size_t)settings->memory_mb * Sl_BYTES_PER_MB / Sl_KEPT_PART,
+        .seed_count = settings->seed_count,
+        .is_first_start = settings->is_first_start,
         .boot = random_number() | 1,
         .seed = random_number(),
         .now_us = steady_us(),
     };
     options.domain_count = settings->domain_count;
     memcpy(options.domains, settings->domains, sizeof(options.domains));
+    memcpy(options.seeds, settings->seeds, sizeof(options.seeds));
     shell->router = SlRouter_New(&options);
     shell->effects = SlRouterEffects_New();
 }
--- a/programs/sassafrasd_router_peers.c
+++ b/programs/sassafrasd_router_peers.c
@@ -44,6 +44,19 @@
 
 /* ---- digests ---- */
 
+static bool
+take_introduction(struct sl_router_peers *peers, struct sl_str bytes)
+{
+    struct sl_introduced members[Sl_MAX_INTRODUCED];
+    struct sl_router_event event = {.type = Sl_REV_INTRODUCED};
+    if (!SlIntroduction_Decode(bytes, members, &event.u.introduced.count)) {
+        return false;
+    }
+    event.u.introduced.members = members;
+    SlRouterShell_Dispatch(peers->shell, &event);
+    return true;
+}
+
 static void
 on_datagram(evutil_socket_t fd, short what, void *context)
 {
@@ -55,6 +68,9 @@
     while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
         struct sl_gossip digest;
         struct sl_router_event event = {.type = Sl_REV_GOSSIP};
+        if (take_introduction(peers, (struct sl_str){bytes, (size_t)len})) {
+            continue;
+        }
         if (SlGossip_Decode((struct sl_str){bytes, (size_t)len}, &digest,
                             &err) != Sl_OK) {
             SlRouterShell_Log(peers->shell, Sl_LOG_WARN,
@@ -66,6 +82,20 @@
     }
 }
 
+static void
+send_datagram(struct sl_router_peers *peers, const struct sl_name *to,
+              struct sl_str bytes)
+{
+    struct sockaddr_in address;
+    int len = sizeof(address);
+    if (evutil_parse_sockaddr_port(to->text, (struct sockaddr *)&address,
+                                   &len) == 0) {
+        /* One that is lost is made good by the next. */
+        (void)sendto(peers->fd, bytes.ptr, bytes.len, 0,
+                     (struct sockaddr *)&address, (socklen_t)len);
+    }
+}
+
 static void
 send_digest(struct sl_router_peers *peers,
             const struct sl_router_effect *effect)
@@ -73,19 +103,22 @@
     struct sl_buf bytes = {0};
     SlGossip_Encode(effect->u.gossip.digest, &bytes);
     for (size_t i = 0; i < effect->u.gossip.count; i++) {
-        struct sockaddr_in address;
-        int len = sizeof(address);
-        if (evutil_parse_sockaddr_port(effect->u.gossip.addresses[i]->text,
-                                       (struct sockaddr *)&address,
-                                       &len) == 0) {
-            /* A digest that is lost is made good by the next. */
-            (void)sendto(peers->fd, bytes.ptr, bytes.len, 0,
-                         (struct sockaddr *)&address, (socklen_t)len);
-        }
+        send_datagram(peers, effect->u.gossip.addresses[i], SlBuf_Str(&bytes));
     }
     SlBuf_Free(&bytes);
 }
 
+static void
+send_introduction(struct sl_router_peers *peers,
+                  const struct sl_router_effect *effect)
+{
+    struct sl_buf bytes = {0};
+    (void)SlIntroduction_Encode(effect->u.introduce.members,
+                                effect->u.introduce.count, &bytes);
+    send_datagram(peers, &effect->u.introduce.address, SlBuf_Str(&bytes));
+    SlBuf_Free(&bytes);
+}
+
 /* ---- pulls of ours ---- */
 
 static void
@@ -353,6 +386,9 @@
     case Sl_RFX_GOSSIP:
         send_digest(peers, effect);
         break;
+    case Sl_RFX_INTRODUCE:
+        send_introduction(peers, effect);
+        break;
     case Sl_RFX_PULL:
         start_pull(peers, effect);
         break;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -5,7 +5,7 @@
 // A script line is a word and "key=value" members; values hold no spaces, and
 // "~" stands for a line's end in them.
 //   include FILE
-//   start [vm=] [domain=] [exposure=] [keeps=BYTES]
+//   start [vm=] [domain=] [exposure=] [keeps=BYTES] [seeds=VM,..] [first]
 //     [regions=DOMAIN:REGION,..]
 //   service NAME [engine] [slots=] [models=a,b] [cold-s=] [cold-per-s=]
 //   route NAME host= prefix= kind= to=S[:W],.. [timeout=] [target=]
@@ -35,6 +35,7 @@
 //     [answers= bad= base-answers= base-bad=] [leaving]
 //     [store-age=MS]
 //   appended [conflict] [err=]   the newest append is answered
+//   introduced VM...       a peer names other routers
 //   dark UPSTREAM | light UPSTREAM   can it be connected to by health checks
 //   reads                  how many reads the store was asked for since then
 //   drain | show WORD... | hide WORD... | metrics WORD... | +MS
@@ -226,6 +227,7 @@
                 {"done", &Script::on_done},
                 {"digest", &Script::on_digest},
                 {"appended", &Script::on_appended},
+                {"introduced", &Script::on_introduced},
                 {"drain", &Script::on_drain},
                 {"show", &Script::on_show},
                 {"hide", &Script::on_show},
@@ -288,6 +290,8 @@
         struct sl_bounds bounds = small_bounds();
         bounds.exposure_share = m.real("exposure", bounds.exposure_share);
         world.max_kept_bytes = (size_t)m.number("keeps");
+        world.seeds = split(m.str("seeds"));
+        world.is_first_start = m.flag("first");
         world.start(m.str("vm", "e1"), m.str("domain", "brest"), bounds,
                     m.str("regions"));
     }
@@ -617,7 +621,7 @@
         digest->boot = (uint64_t)m.number("boot", 7);
         digest->sequence = ++sequences[m.words.at(1)];
         digest->leaving = m.flag("leaving");
-        digest->store_age_ms =
+        digest->news_age_ms =
             (uint32_t)m.number("store-age", (int64_t)UINT32_MAX);
         for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
             digest->offsets[i] = std::stoull(offsets.at(i));
@@ -796,6 +800,37 @@
         }
     }
 
+    void
+    print_introduction(const struct sl_router_effect &effect)
+    {
+        if (shown.count("introduce") == 0) {
+            return;
+        }
+        std::set<std::string> names; // their order is by hash
+        for (size_t i = 0; i < effect.u.introduce.count; i++) {
+            names.insert(effect.u.introduce.members[i].vm.text);
+        }
+        line() << "introduce to " << effect.u.introduce.address.text << ":";
+        for (const std::string &name : names) {
+            out << " " << name;
+        }
+        out << "\n";
+    }
+
+    void
+    on_introduced(const members &m)
+    {
+        struct sl_router_event event = world.event_of(Sl_REV_INTRODUCED);
+        std::vector<struct sl_introduced> others;
+        for (size_t i = 1; i < m.words.size(); i++) {
+            others.push_back({m.word_name(i),
+                              SlName_Of((m.words.at(i) + ":7340").c_str())});
+        }
+        event.u.introduced.count = others.size();
+        event.u.introduced.members = others.data();
+        world.reduce(event);
+    }
+
     void
     print_gossip(const struct sl_router_effect &effect)
     {
@@ -863,6 +898,9 @@
         case Sl_RFX_GOSSIP:
             print_gossip(effect);
             break;
+        case Sl_RFX_INTRODUCE:
+            print_introduction(effect);
+            break;
         case Sl_RFX_PULL:
             line() << "pull " << SlFeed_Name(effect.u.pull.feed)
                    << " from=" << effect.u.pull.from << " "
--- a/tests/unit/router_world.h
+++ b/tests/unit/router_world.h
@@ -132,6 +132,8 @@
     unsigned reads_asked = 0;   // of the store
     std::set<std::string> dark; // upstreams that cannot be connected to
     size_t max_kept_bytes = 0;
+    std::vector<std::string> seeds; // VMs
+    bool is_first_start = false;
     struct sl_router *router = nullptr;
     std::function<void(const struct sl_router_effect &)> on_effect;
 
@@ -158,6 +160,11 @@
         options.peer_address = SlName_Of((vm + ":7340").c_str());
         options.bounds = bounds;
         options.max_kept_bytes = max_kept_bytes;
+        options.is_first_start = is_first_start;
+        for (const std::string &other : seeds) {
+            options.seeds[options.seed_count++] =
+                SlName_Of((other + ":7340").c_str());
+        }
         std::istringstream list(regions);
         for (std::string item; std::getline(list, item, ',');) {
             size_t colon = item.find(':');
