Starts: tests in virtual time; a hint of leaving holds for who starts later

Cause: a router that had started after an upstream said that it leaves took the peers' hint for one of an earlier start, as it had heard of the upstream later; the upstream was in use again while the store still listed it. Change: a hint is of an earlier start only if the present one was born, or seen to start, after it; peers are told for 60 s.

--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -71,7 +71,7 @@
     int64_t fault_us;       /* when this router last found it failing; 0: never
                                since it last answered */
     bool is_replaced;       /* another upstream has its address */
-    int64_t since_us;       /* when this start of it was first heard of */
+    int64_t restarted_us;   /* when it was last seen to have started anew */
     int64_t left_us;        /* when it said that it leaves; 0: it did not */
     bool is_own_left;       /* to this router, not to a peer */
     int64_t quiet_until_us; /* it wants nothing from this router until then */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -88,6 +88,7 @@
 forget_start(struct sl_router *router, struct sl_upstream *upstream)
 {
     g_hash_table_remove_all(upstream->parts);
+    upstream->restarted_us = router->now_us;
     upstream->failures = 0;
     upstream->shun_until_us = 0;
     SlWishes_OnStart(router, upstream);
--- a/lib/router/sl_wishes.c
+++ b/lib/router/sl_wishes.c
@@ -11,9 +11,9 @@
  */
 #include "sl_router_internal.h"
 
-/* Peers are told for so long; those that start later learn it from the store,
- * or by their own answers. */
-#define Sl_LEFT_TOLD_US (10 * Sl_US_PER_S)
+/* Peers are told for so long: those that start meanwhile, too, while the store
+ * may still list the upstream. */
+#define Sl_LEFT_TOLD_US (60 * Sl_US_PER_S)
 /* What upstreams have said is kept for so long: beyond the time that any of
  * them serves on, and any store is away. */
 #define Sl_WISH_KEPT_US (600 * Sl_US_PER_S)
@@ -70,7 +70,6 @@
 {
     struct sl_wish *wish =
         g_hash_table_lookup(router->wishes, &upstream->reg.id);
-    upstream->since_us = router->now_us;
     upstream->left_us = 0;
     upstream->is_own_left = false;
     if (wish == NULL) {
@@ -120,15 +119,27 @@
     leave(router, upstream, NULL, router->now_us);
 }
 
+/* Was something that old said by a start before the present one? This router
+ * may have started later than either. */
+static bool
+is_of_earlier_start(const struct sl_router *router,
+                    const struct sl_upstream *upstream, int64_t age_us)
+{
+    if (upstream->reg.born_ms != 0) {
+        return upstream->reg.born_ms > router->wall_ms - age_us / Sl_US_PER_MS;
+    }
+    return router->now_us - age_us <= upstream->restarted_us;
+}
+
 void
 SlWishes_OnToldLeaving(struct sl_router *router, const struct sl_name *teller,
                        struct sl_upstream *upstream, int64_t age_us)
 {
-    int64_t said_us = router->now_us - age_us;
-    if (upstream->left_us != 0 || said_us <= upstream->since_us) {
-        return; /* known, or of a start before this one */
+    if (upstream->left_us != 0 ||
+        is_of_earlier_start(router, upstream, age_us)) {
+        return;
     }
-    leave(router, upstream, teller, said_us);
+    leave(router, upstream, teller, router->now_us - age_us);
 }
 
 bool
--- a/tests/unit/router_fleet_world.h
+++ b/tests/unit/router_fleet_world.h
@@ -23,6 +23,7 @@
     int status = 200;
     int confidence = -1;
     bool breaks_off = false; // the connection ends without an answer
+    bool leaves = false;     // the upstream says so
 };
 
 class Fleet {
@@ -37,6 +38,8 @@
         return true;
     };
     std::function<void(uint64_t, int)> on_reply;
+    // Routers that a new one asks for the others.
+    std::vector<std::string> seeds;
 
     void
     start(size_t routers, const struct sl_bounds &bounds)
@@ -45,6 +48,7 @@
             worlds.push_back(std::make_unique<World>());
             World &world = *worlds.back();
             world.now_us = now_us;
+            world.seeds = seeds;
             world.on_effect = [this,
                                i](const struct sl_router_effect &effect) {
                 take(i, effect);
@@ -53,6 +57,27 @@
         }
     }
 
+    // The router ends with all that it has under way, and starts again.
+    void
+    restart(size_t router)
+    {
+        for (auto at = answers.begin(); at != answers.end();) {
+            at = at->second.call.router == router ? answers.erase(at)
+                                                  : std::next(at);
+        }
+        drop_if(&appends, router);
+        drop_if(&digests, router);
+        drop_if(&pulls, router);
+        drop_if(&introductions, router);
+        worlds[router]->restart();
+    }
+
+    World &
+    world(size_t router)
+    {
+        return *worlds[router];
+    }
+
     size_t
     size() const
     {
@@ -98,7 +123,7 @@
     void
     ask(size_t router, const std::string &path, const std::string &session,
         int64_t deadline_ms, const std::string &model = "m",
-        int64_t prompt_tokens = 0)
+        int64_t prompt_tokens = 0, const std::string &key = "")
     {
         std::string id = "r" + std::to_string(++last_conn);
         struct sl_router_event event =
@@ -111,6 +136,7 @@
         ask.host = Sl_STR("h");
         ask.model = view(model);
         ask.session = view(session);
+        ask.key = view(key);
         ask.deadline_us = deadline_ms * Sl_US_PER_MS;
         ask.last_event = -1;
         ask.prompt_tokens = prompt_tokens;
@@ -128,6 +154,7 @@
         }
         deliver_appends();
         deliver_digests();
+        deliver_introductions();
         answer_pulls();
         answer_calls();
     }
@@ -156,9 +183,20 @@
     };
     struct pending_pull {
         size_t router;
+        std::string address;
         enum sl_feed feed;
         uint64_t from;
     };
+    struct pending_introduction {
+        size_t router;
+        std::string address;
+        std::vector<struct sl_introduced> members;
+    };
+    struct page {
+        bool is_snapshot = false;
+        uint64_t end = 0;
+        std::vector<uint64_t> offsets;
+    };
     struct pending_answer {
         FleetCall call;
         FleetAnswer answer;
@@ -170,6 +208,8 @@
     std::deque<pending_append> appends;
     std::deque<pending_digest> digests;
     std::deque<pending_pull> pulls;
+    std::deque<pending_introduction> introductions;
+    page answered; // the newest page that a router has handed over
     std::multimap<int64_t, pending_answer> answers; // by time
 
     static std::string
@@ -223,7 +263,24 @@
             }
             break;
         case Sl_RFX_PULL:
-            pulls.push_back({router, effect.u.pull.feed, effect.u.pull.from});
+            pulls.push_back({router, text(SlName_Str(&effect.u.pull.address)),
+                             effect.u.pull.feed, effect.u.pull.from});
+            break;
+        case Sl_RFX_PAGE:
+            answered = page();
+            answered.is_snapshot = effect.u.page.page.is_snapshot;
+            answered.end = effect.u.page.page.end;
+            for (size_t i = 0; i < effect.u.page.page.count; i++) {
+                answered.offsets.push_back(
+                    effect.u.page.page.records[i].offset);
+            }
+            break;
+        case Sl_RFX_INTRODUCE:
+            introductions.push_back(
+                {router,
+                 text(SlName_Str(&effect.u.introduce.address)),
+                 {effect.u.introduce.members,
+                  effect.u.introduce.members + effect.u.introduce.count}});
             break;
         default:
             break;
@@ -278,19 +335,77 @@
         }
     }
 
-    // Every peer holds all records.
+    // The router at the address; nobody when none has it.
+    size_t
+    at_address(const std::string &address) const
+    {
+        size_t i = 0;
+        while (i < worlds.size() && address != name_of(i) + ":7340") {
+            i++;
+        }
+        return i;
+    }
+
+    template <typename Pending>
+    static void
+    drop_if(std::deque<Pending> *pending, size_t router)
+    {
+        std::deque<Pending> kept;
+        for (const Pending &one : *pending) {
+            if (one.router != router) {
+                kept.push_back(one);
+            }
+        }
+        pending->swap(kept);
+    }
+
+    void
+    deliver_introductions()
+    {
+        std::deque<pending_introduction> due;
+        due.swap(introductions);
+        for (const pending_introduction &sent : due) {
+            size_t to = at_address(sent.address);
+            if (to < worlds.size() && hears(sent.router, to)) {
+                struct sl_router_event event =
+                    worlds[to]->event_of(Sl_REV_INTRODUCED);
+                event.u.introduced.count = sent.members.size();
+                event.u.introduced.members = sent.members.data();
+                worlds[to]->reduce(event);
+            }
+        }
+    }
+
+    // Peers hand over what they have themselves read.
     void
     answer_pulls()
     {
         std::deque<pending_pull> due;
         due.swap(pulls);
         for (const pending_pull &pull : due) {
+            size_t from = at_address(pull.address);
             World &world = *worlds[pull.router];
-            std::vector<struct sl_record> records =
-                world.topics[pull.feed].from(pull.from);
             struct sl_router_event event = world.event_of(Sl_REV_PULLED);
+            struct sl_error err;
+            std::vector<struct sl_record> records;
             event.u.feed.feed = pull.feed;
-            event.u.feed.end = world.topics[pull.feed].end();
+            if (from >= worlds.size() || !hears(from, pull.router)) {
+                SlError_Set(&err, Sl_ERR_UNREACHABLE, "peer.pull", "",
+                            "cannot connect");
+                event.err = &err;
+            }
+            else {
+                struct sl_router_event asked =
+                    worlds[from]->event_of(Sl_REV_PULL);
+                asked.u.pull.feed = pull.feed;
+                asked.u.pull.from = pull.from;
+                worlds[from]->reduce(asked);
+                for (uint64_t offset : answered.offsets) {
+                    records.push_back(world.topics[pull.feed].at(offset));
+                }
+                event.u.feed.snapshot = answered.is_snapshot;
+                event.u.feed.end = answered.end;
+            }
             event.u.feed.count = records.size();
             event.u.feed.records = records.data();
             world.reduce(event);
@@ -310,6 +425,7 @@
                 head.status = due.answer.status;
                 head.is_stamped = true;
                 head.confidence = due.answer.confidence;
+                head.is_leaving = due.answer.leaves;
                 head.cold_us = -1;
                 struct sl_router_event event =
                     world.event_of(Sl_REV_ANSWER_HEAD);
--- a/tests/unit/router_world.h
+++ b/tests/unit/router_world.h
@@ -62,6 +62,12 @@
         records.push_back(record);
     }
 
+    const struct sl_record &
+    at(uint64_t offset) const
+    {
+        return records.at(offset);
+    }
+
     // Records from an offset on, the newest of each key only.
     std::vector<struct sl_record>
     from(uint64_t offset) const
@@ -154,7 +160,7 @@
           const struct sl_bounds &bounds, const std::string &regions = "",
           uint64_t seed = 1)
     {
-        struct sl_router_options options = {};
+        options = {};
         options.vm = SlName_Of(vm.c_str());
         options.domain = SlName_Of(domain.c_str());
         options.peer_address = SlName_Of((vm + ":7340").c_str());
@@ -179,6 +185,22 @@
         tick();
     }
 
+    // The process ends and starts again; the store keeps what it holds.
+    void
+    restart()
+    {
+        SlRouter_Free(router);
+        router = nullptr;
+        checks.clear();
+        for (pending_read &pending : reads) {
+            pending = pending_read();
+        }
+        options.boot++;
+        options.now_us = now_us;
+        router = SlRouter_New(&options);
+        tick();
+    }
+
     struct sl_router_event
     event_of(enum sl_router_event_type type) const
     {
@@ -255,6 +277,7 @@
         bool is_reached;
         int64_t due_us;
     };
+    struct sl_router_options options = {};
     struct sl_router_effects *effects;
     std::vector<pending_check> checks;
     pending_read reads[Sl_FEED_COUNT];
