Digests: relays in other failure domains, introductions of the own domain

Cause: each router told all others, and each that started was named all others by each of them. First records were taken from whichever peer answered first, mostly a seed elsewhere.

Fewer beats: silence would show later.

Change: sl_relay.c. Of another domain two routers are told at a beat, other ones each time; the first hands the digest on at once, the second after 200 ms unless the first did. A silent domain is told four at a time. A router that knows nobody in its domain is named that domain and two routers of each other one.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -21,10 +21,10 @@
 #define Sl_AGE_MAX 0xffff
 #define Sl_AGE_STEP_MS 10
 
-#define Sl_DIGEST_FIELDS 11
+#define Sl_DIGEST_FIELDS 14
 #define Sl_LOAD_FIELDS 3
 #define Sl_INTRODUCTION_FIELDS 2
-#define Sl_MEMBER_FIELDS 2
+#define Sl_MEMBER_FIELDS 3
 /* Of an introduction without its members, and of one without its names. */
 #define Sl_INTRODUCTION_BYTES 16
 #define Sl_MEMBER_BYTES 8
@@ -122,6 +122,9 @@
     msgpack_pack_uint64(packer, digest->boot);
     msgpack_pack_uint64(packer,
                         digest->sequence << 1 | (digest->leaving ? 1 : 0));
+    msgpack_pack_uint32(packer, digest->known);
+    msgpack_pack_uint8(packer, digest->relay);
+    msgpack_pack_uint32(packer, digest->age_ms);
     msgpack_pack_array(packer, Sl_GOSSIP_FEEDS);
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         msgpack_pack_uint64(packer, digest->offsets[i]);
@@ -305,6 +308,10 @@
     uint64_t sequence = next_uint(&fields);
     digest->sequence = sequence >> 1;
     digest->leaving = (sequence & 1) != 0;
+    digest->known = next_uint32(&fields);
+    uint64_t relay = next_uint(&fields);
+    digest->relay = (uint8_t)MIN(relay, UINT8_MAX);
+    digest->age_ms = next_uint32(&fields);
     struct sl_items offsets = next_array(&fields, Sl_GOSSIP_FEEDS);
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = next_uint(&offsets);
@@ -362,10 +369,32 @@
     return code;
 }
 
+static uint32_t
+later(uint32_t ms, uint32_t by_ms)
+{
+    return ms > UINT32_MAX - by_ms ? UINT32_MAX : ms + by_ms;
+}
+
+void
+SlGossip_Age(struct sl_gossip *digest, int64_t age_us)
+{
+    uint32_t ms =
+        (uint32_t)CLAMP(age_us / Sl_US_PER_MS, 0, (int64_t)UINT32_MAX);
+    digest->age_ms = later(digest->age_ms, ms);
+    digest->news_age_ms = later(digest->news_age_ms, ms);
+    for (size_t i = 0; i < digest->fault_count; i++) {
+        digest->faults[i].age_ms = later(digest->faults[i].age_ms, ms);
+    }
+    for (size_t i = 0; i < digest->rollout_count; i++) {
+        struct sl_gossip_rollout *rollout = &digest->rollouts[i];
+        rollout->elapsed_ms = later(rollout->elapsed_ms, ms);
+    }
+}
+
 /* ---- introductions ---- */
 
 size_t
-SlIntroduction_Encode(const struct sl_introduced *members, size_t count,
+SlIntroduction_Encode(const struct sl_member *members, size_t count,
                       struct sl_buf *out)
 {
     msgpack_packer packer;
@@ -373,7 +402,7 @@
     size_t taken = 0;
     for (; taken < MIN(count, Sl_MAX_INTRODUCED); taken++) {
         size_t bytes = Sl_MEMBER_BYTES + members[taken].vm.len +
-                       members[taken].address.len;
+                       members[taken].domain.len + members[taken].address.len;
         if (bytes > room) {
             break;
         }
@@ -386,13 +415,14 @@
     for (size_t i = 0; i < taken; i++) {
         msgpack_pack_array(&packer, Sl_MEMBER_FIELDS);
         pack_name(&packer, &members[i].vm);
+        pack_name(&packer, &members[i].domain);
         pack_name(&packer, &members[i].address);
     }
     return taken;
 }
 
 static bool
-decode_introduction(struct sl_items fields, struct sl_introduced *members,
+decode_introduction(struct sl_items fields, struct sl_member *members,
                     size_t *count)
 {
     if (fields.left != Sl_INTRODUCTION_FIELDS ||
@@ -404,6 +434,7 @@
     while (list.ok && list.left > 0) {
         struct sl_items member = next_array(&list, Sl_MEMBER_FIELDS);
         members[*count].vm = next_name(&member);
+        members[*count].domain = next_name(&member);
         members[*count].address = next_name(&member);
         if (!member.ok || SlName_IsEmpty(&members[*count].vm)) {
             return false;
@@ -414,7 +445,7 @@
 }
 
 bool
-SlIntroduction_Decode(struct sl_str bytes, struct sl_introduced *members,
+SlIntroduction_Decode(struct sl_str bytes, struct sl_member *members,
                       size_t *count)
 {
     msgpack_unpacked unpacked;
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -18,7 +18,7 @@
 
 #include "sl_common.h"
 
-#define Sl_GOSSIP_VERSION 5
+#define Sl_GOSSIP_VERSION 6
 /* Below the payload of one Ethernet frame, so that none is fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
 
@@ -100,6 +100,11 @@
     uint64_t boot;
     uint64_t sequence; /* grows by one with each datagram of this boot */
     bool leaving;
+    /* Routers of its failure domain that the sender believes to live, itself
+     * left out. */
+    uint32_t known;
+    uint8_t relay;   /* the receiver is to hand it on, in this place; 0: not */
+    uint32_t age_ms; /* since the sender said it; of one that is handed on */
     uint64_t offsets[Sl_GOSSIP_FEEDS]; /* next record of each feed */
     /* Since the store last answered the sender, or a router whose news the
      * sender has. */
@@ -119,24 +124,27 @@
 void SlGossip_Encode(const struct sl_gossip *digest, struct sl_buf *out);
 enum sl_errno SlGossip_Decode(struct sl_str bytes, struct sl_gossip *digest,
                               struct sl_error *err);
+/* It was said so long ago: what it tells the age of gets older. */
+void SlGossip_Age(struct sl_gossip *digest, int64_t age_us);
 
 /* ---- 3. Members ------------------------------------------------------ */
 
 /* Members of one datagram: as many as fit, this many at most. */
 #define Sl_MAX_INTRODUCED 40
 
-/* A router that the sender believes to live. */
-struct sl_introduced {
+/* A router that peers and the store name. */
+struct sl_member {
     struct sl_name vm;
+    struct sl_name domain;
     struct sl_name address; /* "IP:PORT" for datagrams */
 };
 
 /* Appends the bytes of a datagram; returns how many members it holds. */
-size_t SlIntroduction_Encode(const struct sl_introduced *members, size_t count,
+size_t SlIntroduction_Encode(const struct sl_member *members, size_t count,
                              struct sl_buf *out);
 /* False when the bytes are no such datagram; a digest is none. `members` has
  * room for Sl_MAX_INTRODUCED. */
-bool SlIntroduction_Decode(struct sl_str bytes, struct sl_introduced *members,
+bool SlIntroduction_Decode(struct sl_str bytes, struct sl_member *members,
                            size_t *count);
 
 /* ---- 4. Pages --------------------------------------------------------- */
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -12,9 +12,6 @@
  * proportion, so that a router's digests stay bounded. News of the store are
  * rare, and told as soon as ever. */
 #define Sl_SOON_PEERS 10
-/* A peer that is silent or has left is told only so often: it may start again
- * while the store is away, and then knows nobody. */
-#define Sl_SILENT_BEAT_US (2 * Sl_US_PER_S)
 /* Member records are read again this often: routers that started without
  * hearing of each other meet through them. */
 #define Sl_MEMBERS_AGAIN_US (60 * Sl_US_PER_S)
@@ -92,6 +89,8 @@
     digest->boot = router->options.boot;
     digest->sequence = ++router->digest_sequence;
     digest->leaving = router->draining;
+    digest->known =
+        (uint32_t)SlPeers_CountDomain(router, &router->options.domain);
     for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         digest->offsets[i] = router->feeds[i].next;
     }
@@ -102,115 +101,158 @@
     SlRollouts_Tell(router, digest);
 }
 
-/* Who is told. */
-enum sl_tell {
-    Sl_TELL_ALL,
-    Sl_TELL_DOMAIN,
-    Sl_TELL_NEWS, /* of the store: the domain, and the heads of others */
-};
+void
+SlDigests_Send(struct sl_router *router, const struct sl_gossip *digest,
+               GPtrArray *recipients)
+{
+    guint count = recipients->len;
+    gpointer *addresses = g_ptr_array_free(recipients, FALSE);
+    SlOutbox_Keep(router, addresses);
+    if (count > 0) {
+        struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_GOSSIP);
+        struct sl_gossip *copy = g_memdup2(digest, sizeof(*digest));
+        SlOutbox_Keep(router, copy);
+        effect->u.gossip.digest = copy;
+        effect->u.gossip.count = count;
+        effect->u.gossip.addresses = (const struct sl_name **)addresses;
+    }
+}
 
-static bool
-is_due(const struct sl_router *router, const struct sl_router_peer *peer,
-       enum sl_tell tell)
+static void
+tell_all(struct sl_router *router)
 {
-    if (tell == Sl_TELL_ALL) {
-        return SlPeers_IsLive(router, peer) ||
-               router->now_us - peer->sent_us >= Sl_SILENT_BEAT_US;
+    struct sl_recipients recipients;
+    struct sl_gossip digest = {0};
+    SlRelay_Choose(router, &recipients);
+    fill_digest(router, &digest);
+    SlDigests_Send(router, &digest, recipients.plain);
+    for (size_t place = 0; place < Sl_RELAYS; place++) {
+        digest.relay = (uint8_t)(place + 1);
+        SlDigests_Send(router, &digest, recipients.relays[place]);
     }
-    return SlPeers_IsLive(router, peer) &&
-           (SlName_Equal(&peer->digest.domain, &router->options.domain) ||
-            (tell == Sl_TELL_NEWS && peer->is_head));
 }
 
+/* Tells the failure domain; of news of the store also the heads of others. */
 static void
-tell_peers(struct sl_router *router, enum sl_tell tell)
+tell_domain(struct sl_router *router, bool has_news)
 {
-    guint peers = g_hash_table_size(router->peers);
-    const struct sl_name **addresses =
-        g_new0(const struct sl_name *, peers + 1);
-    struct sl_gossip *digest = g_new0(struct sl_gossip, 1);
-    size_t count = 0;
+    GPtrArray *recipients = g_ptr_array_new();
+    struct sl_gossip digest = {0};
     GHashTableIter iter;
     gpointer value;
-    SlOutbox_Keep(router, addresses);
-    SlOutbox_Keep(router, digest);
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_router_peer *peer = value;
-        if (is_due(router, peer, tell)) {
-            addresses[count++] = &peer->address;
-            peer->sent_us = router->now_us;
+        if (SlPeers_IsLive(router, peer) &&
+            (SlName_Equal(&peer->domain, &router->options.domain) ||
+             (has_news && peer->is_head))) {
+            g_ptr_array_add(recipients, &peer->address);
         }
     }
-    if (tell == Sl_TELL_DOMAIN) {
-        router->domain_peers = count;
+    if (!has_news) {
+        router->domain_peers = recipients->len;
     }
-    if (count == 0) {
-        return;
+    if (recipients->len > 0) {
+        fill_digest(router, &digest);
     }
-    fill_digest(router, digest);
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_GOSSIP);
-    effect->u.gossip.digest = digest;
-    effect->u.gossip.count = count;
-    effect->u.gossip.addresses = addresses;
+    SlDigests_Send(router, &digest, recipients);
 }
 
 /* Sends a digest to one address. */
 static void
 tell_one(struct sl_router *router, const struct sl_name *address)
 {
-    struct sl_gossip *digest = g_new0(struct sl_gossip, 1);
     struct sl_name *copy = g_memdup2(address, sizeof(*address));
-    const struct sl_name **addresses = g_new0(const struct sl_name *, 1);
-    SlOutbox_Keep(router, digest);
+    GPtrArray *recipients = g_ptr_array_new();
+    struct sl_gossip digest = {0};
     SlOutbox_Keep(router, copy);
-    SlOutbox_Keep(router, addresses);
-    addresses[0] = copy;
-    fill_digest(router, digest);
-    struct sl_router_effect *effect = SlOutbox_Add(router, Sl_RFX_GOSSIP);
-    effect->u.gossip.digest = digest;
-    effect->u.gossip.count = 1;
-    effect->u.gossip.addresses = addresses;
+    g_ptr_array_add(recipients, copy);
+    fill_digest(router, &digest);
+    SlDigests_Send(router, &digest, recipients);
 }
 
-/* Names others to a peer that has just started. */
-static void
-introduce(struct sl_router *router, const struct sl_gossip *digest)
+/* ---- introductions ---- */
+
+/* Of each failure domain but that of who is told, so many are named: these
+ * hand on what they hear. */
+#define Sl_NAMED_ELSEWHERE 2
+
+/* The peers that live, in an order by chance: others name other ones. */
+static GPtrArray *
+shuffled_peers(struct sl_router *router)
 {
-    GArray *members = g_array_new(FALSE, FALSE, sizeof(struct sl_introduced));
+    GPtrArray *peers = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_router_peer *peer = value;
-        if (SlPeers_IsLive(router, peer) && peer->digest.boot != 0 &&
-            !SlName_Equal(&peer->vm, &digest->vm)) {
-            struct sl_introduced member = {peer->vm, peer->address};
-            g_array_append_val(members, member);
+        if (SlPeers_IsLive(router, peer) && peer->digest.boot != 0) {
+            g_ptr_array_add(peers, value);
         }
     }
-    /* Others name other ones, so that together they name all. */
-    for (guint i = members->len; i > 1; i--) {
+    for (guint i = peers->len; i > 1; i--) {
         guint j = SlRandom_Below(&router->random, i);
-        struct sl_introduced *all = (struct sl_introduced *)members->data;
-        struct sl_introduced swapped = all[i - 1];
-        all[i - 1] = all[j];
-        all[j] = swapped;
+        gpointer swapped = peers->pdata[i - 1];
+        peers->pdata[i - 1] = peers->pdata[j];
+        peers->pdata[j] = swapped;
+    }
+    return peers;
+}
+
+static size_t
+count_of(const GArray *members, const struct sl_name *domain)
+{
+    size_t count = 0;
+    for (guint i = 0; i < members->len; i++) {
+        const struct sl_member *member =
+            &g_array_index(members, struct sl_member, i);
+        count += SlName_Equal(&member->domain, domain) ? 1 : 0;
+    }
+    return count;
+}
+
+/* Names to a peer its failure domain, and some of each other one. */
+static void
+introduce(struct sl_router *router, const struct sl_gossip *digest)
+{
+    GArray *members = g_array_new(FALSE, FALSE, sizeof(struct sl_member));
+    GPtrArray *peers = shuffled_peers(router);
+    for (guint i = 0; i < peers->len; i++) {
+        const struct sl_router_peer *peer = g_ptr_array_index(peers, i);
+        if (!SlName_Equal(&peer->vm, &digest->vm) &&
+            (SlName_Equal(&peer->domain, &digest->domain) ||
+             count_of(members, &peer->domain) < Sl_NAMED_ELSEWHERE)) {
+            struct sl_member member = {peer->vm, peer->domain, peer->address};
+            g_array_append_val(members, member);
+        }
     }
     if (members->len > 0) {
         struct sl_router_effect *effect =
             SlOutbox_Add(router, Sl_RFX_INTRODUCE);
         effect->u.introduce.address = digest->address;
-        effect->u.introduce.count = MIN(members->len, Sl_MAX_INTRODUCED);
-        effect->u.introduce.members =
-            (const struct sl_introduced *)members->data;
+        effect->u.introduce.count = members->len;
+        effect->u.introduce.members = (const struct sl_member *)members->data;
     }
+    g_ptr_array_free(peers, TRUE);
     SlOutbox_Keep(router, g_array_free(members, FALSE));
 }
 
+/* Is it to be told of others? One that knows nobody in its failure domain is,
+ * until it does: the first introduction may have been lost. */
+static bool
+lacks_others(const struct sl_router *router, const struct sl_gossip *digest,
+             enum sl_taken taken)
+{
+    /* Of that domain the peer itself is known here. */
+    return digest->known == 0 && digest->age_ms == 0 && !digest->leaving &&
+           (taken == Sl_TAKEN_START ||
+            SlPeers_CountDomain(router, &digest->domain) > 1);
+}
+
 void
 SlDigests_OnIntroduced(struct sl_router *router,
-                       const struct sl_introduced *members, size_t count)
+                       const struct sl_member *members, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
         if (SlPeers_OnIntroduced(router, &members[i])) {
@@ -227,7 +269,7 @@
     (void)now_us;
     SlPeers_Forget(router);
     SlFeeds_NoteDuty(router);
-    tell_peers(router, Sl_TELL_ALL);
+    tell_all(router);
     SlRollouts_Told(router);
     SlTimers_Subscribe(router->timers, router->now_us + SlPeers_BeatUs(router),
                        on_beat, router, 0);
@@ -243,7 +285,7 @@
     router->gossip_timer = 0;
     router->has_news = false;
     (void)SlPeers_Duties(router);
-    tell_peers(router, has_news ? Sl_TELL_NEWS : Sl_TELL_DOMAIN);
+    tell_domain(router, has_news);
 }
 
 void
@@ -267,7 +309,7 @@
 void
 SlDigests_Leave(struct sl_router *router)
 {
-    tell_peers(router, Sl_TELL_ALL);
+    tell_all(router);
 }
 
 void
@@ -275,12 +317,17 @@
 {
     enum sl_taken taken = SlPeers_Take(router, digest);
     if (taken == Sl_TAKEN_NOT) {
+        SlRelay_OnLate(router, digest);
         return;
     }
-    if (taken == Sl_TAKEN_START) {
-        tell_one(router, &digest->address);
+    SlRelay_OnDigest(router, digest);
+    if (lacks_others(router, digest, taken)) {
+        /* First: whom it asks for records shows from the fleet. */
         introduce(router, digest);
     }
+    if (taken == Sl_TAKEN_START && digest->age_ms == 0) {
+        tell_one(router, &digest->address);
+    }
     router->bytes_us = router->now_us;
     SlFeeds_OnDigest(router, digest);
     for (size_t i = 0; i < digest->fault_count; i++) {
--- a/lib/router/sl_dump.c
+++ b/lib/router/sl_dump.c
@@ -156,7 +156,7 @@
             g_hash_table_lookup(router->peers, at->data);
         begin_item(out);
         add_name(out, "vm", &peer->vm);
-        add_name(out, "domain", &peer->digest.domain);
+        add_name(out, "domain", &peer->domain);
         add_int(out, "live", SlPeers_IsLive(router, peer));
         add_int(out, "heard_ms",
                 (router->now_us - peer->heard_us) / Sl_US_PER_MS);
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -203,6 +203,16 @@
            router->feeds[Sl_PULSE].failures > 0;
 }
 
+/* Is a peer about to hand this router what it has not read yet? */
+static bool
+is_being_handed(const struct sl_router *router,
+                const struct sl_feed_state *state)
+{
+    bool is_offered = state->offered_us != 0 &&
+                      router->now_us - state->offered_us < Sl_BEHIND_US;
+    return !state->synced && (state->pulling || is_offered);
+}
+
 static void
 on_read_due(void *context, uint64_t id, int64_t now_us)
 {
@@ -212,7 +222,7 @@
     if (waits_for_pulse(router, (enum sl_feed)id)) {
         router->feeds[id].waits_for_pulse = true;
     }
-    else if (!router->feeds[id].synced && router->feeds[id].pulling) {
+    else if (is_being_handed(router, &router->feeds[id])) {
         read_after(router, (enum sl_feed)id, Sl_HELLO_WAIT_US);
     }
     else if (router->feeds[id].synced && is_handed_news(router)) {
@@ -706,7 +716,12 @@
         return; /* the store knows better, if it answers */
     }
     if (digest->offsets[feed] > 0) {
-        pull(router, feed, digest);
+        if (state->offered_us == 0) {
+            state->offered_us = router->now_us;
+        }
+        if (may_pull_from(router, feed, digest)) {
+            pull(router, feed, digest);
+        }
     }
     else if (is_fresh && digest->offsets[Sl_FEED_UPSTREAMS] > 0) {
         state->synced = true; /* nothing was ever written to it */
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -46,6 +46,24 @@
     return live;
 }
 
+size_t
+SlPeers_CountDomain(const struct sl_router *router,
+                    const struct sl_name *domain)
+{
+    size_t live = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        live +=
+            SlPeers_IsLive(router, peer) && SlName_Equal(&peer->domain, domain)
+                ? 1
+                : 0;
+    }
+    return live;
+}
+
 size_t
 SlPeers_SharerCount(const struct sl_router *router)
 {
@@ -73,7 +91,7 @@
         const struct sl_router_peer *peer = value;
         if (!SlPeers_IsLive(router, peer) ||
             (in_domain &&
-             !SlName_Equal(&peer->digest.domain, &router->options.domain))) {
+             !SlName_Equal(&peer->domain, &router->options.domain))) {
             continue;
         }
         if (SlHash_Rendezvous(key, SlName_Str(&peer->vm)) > own) {
@@ -139,8 +157,7 @@
         if (!SlPeers_IsLive(router, peer) || peer->digest.boot == 0) {
             continue;
         }
-        struct sl_live_domain *domain =
-            domain_of(domains, &peer->digest.domain);
+        struct sl_live_domain *domain = domain_of(domains, &peer->domain);
         uint64_t weight =
             SlHash_Rendezvous(Sl_HEAD_KEY, SlName_Str(&peer->vm));
         if (weight > domain->head_weight) {
@@ -192,7 +209,7 @@
 
 static struct sl_router_peer *
 find_or_add(struct sl_router *router, const struct sl_name *vm,
-            const struct sl_name *address)
+            const struct sl_name *domain, const struct sl_name *address)
 {
     struct sl_router_peer *peer = g_hash_table_lookup(router->peers, vm);
     if (peer == NULL) {
@@ -205,6 +222,7 @@
         SlLine_Name(router, "address", address);
         SlLine_End(router, Sl_LOG_INFO);
     }
+    peer->domain = *domain;
     peer->address = *address;
     return peer;
 }
@@ -259,7 +277,8 @@
 SlPeers_OnMember(struct sl_router *router, const struct sl_member *member)
 {
     if (!SlName_Equal(&member->vm, &router->options.vm)) {
-        (void)find_or_add(router, &member->vm, &member->address);
+        (void)find_or_add(router, &member->vm, &member->domain,
+                          &member->address);
     }
 }
 
@@ -270,7 +289,7 @@
         return Sl_TAKEN_NOT;
     }
     struct sl_router_peer *peer =
-        find_or_add(router, &digest->vm, &digest->address);
+        find_or_add(router, &digest->vm, &digest->domain, &digest->address);
     bool was_live = SlPeers_IsLive(router, peer) && peer->digest.boot != 0;
     if (peer->digest.boot == digest->boot &&
         digest->sequence <= peer->digest.sequence) {
@@ -281,7 +300,7 @@
         router->duties.at_us = 0;
     }
     peer->digest = *digest;
-    peer->heard_us = router->now_us;
+    peer->heard_us = router->now_us - digest->age_ms * Sl_US_PER_MS;
     router->peers_changed = true;
     if (digest->leaving ? peer->is_up : !was_live) {
         peer->is_up = !digest->leaving;
@@ -291,14 +310,14 @@
 }
 
 bool
-SlPeers_OnIntroduced(struct sl_router *router,
-                     const struct sl_introduced *member)
+SlPeers_OnIntroduced(struct sl_router *router, const struct sl_member *member)
 {
     if (SlName_Equal(&member->vm, &router->options.vm) ||
         g_hash_table_contains(router->peers, &member->vm)) {
         return false;
     }
-    (void)find_or_add(router, &member->vm, &member->address);
+    (void)find_or_add(router, &member->vm, &member->domain, &member->address);
+    router->duties.at_us = 0;
     return true;
 }
 
--- /dev/null
+++ b/lib/router/sl_relay.c
@@ -0,0 +1,260 @@
+/*
+ * Who is told in other failure domains, and handing on what they tell. Answers
+ * fleets of many routers: few bytes may pass between domains. Two routers of
+ * another domain get a digest, other ones at each beat, and the first hands it
+ * on to its domain at once. The second does so a little later, unless it has
+ * come from the first by then: that one may stand still, or be dead already.
+ */
+#include "sl_router_internal.h"
+
+/* The second one waits for the first so long. */
+#define Sl_SECOND_US (200 * Sl_US_PER_MS)
+/* A domain of so many routers is told directly. */
+#define Sl_FEW (Sl_RELAYS + 1)
+/* A peer that is silent or has left is told only so often: it may start again
+ * while the store is away, and then knows nobody. */
+#define Sl_SILENT_BEAT_US (2 * Sl_US_PER_S)
+/* In a domain that is silent, so many at once. */
+#define Sl_SILENT_TOLD 4
+
+/* ---- whom to tell ---- */
+
+/* The routers of another failure domain. */
+struct sl_group {
+    struct sl_name domain;
+    GPtrArray *live;   /* struct sl_router_peer, not owned */
+    GPtrArray *silent; /* those that it is time to tell */
+};
+
+static struct sl_group *
+group_of(GArray *groups, const struct sl_name *domain)
+{
+    for (guint i = 0; i < groups->len; i++) {
+        struct sl_group *group = &g_array_index(groups, struct sl_group, i);
+        if (SlName_Equal(&group->domain, domain)) {
+            return group;
+        }
+    }
+    struct sl_group group = {*domain, g_ptr_array_new(), g_ptr_array_new()};
+    g_array_append_val(groups, group);
+    return &g_array_index(groups, struct sl_group, groups->len - 1);
+}
+
+static void
+clear_group(gpointer data)
+{
+    struct sl_group *group = data;
+    g_ptr_array_free(group->live, TRUE);
+    g_ptr_array_free(group->silent, TRUE);
+}
+
+static bool
+is_time(const struct sl_router *router, const struct sl_router_peer *peer)
+{
+    return router->now_us - peer->sent_us >= Sl_SILENT_BEAT_US;
+}
+
+static void
+add(struct sl_router *router, GPtrArray *recipients,
+    struct sl_router_peer *peer)
+{
+    peer->sent_us = router->now_us;
+    g_ptr_array_add(recipients, &peer->address);
+}
+
+static gint
+by_sent(gconstpointer left, gconstpointer right)
+{
+    const struct sl_router_peer *a = *(struct sl_router_peer *const *)left;
+    const struct sl_router_peer *b = *(struct sl_router_peer *const *)right;
+    return a->sent_us < b->sent_us ? -1 : a->sent_us > b->sent_us;
+}
+
+static void
+choose_silent(struct sl_router *router, struct sl_group *group,
+              struct sl_recipients *recipients)
+{
+    g_ptr_array_sort(group->silent, by_sent);
+    for (guint i = 0; i < MIN(group->silent->len, Sl_SILENT_TOLD); i++) {
+        add(router, recipients->relays[0],
+            g_ptr_array_index(group->silent, i));
+    }
+}
+
+/* Other ones with each beat: one that is not reached from here costs this
+ * router a beat, not its voice. */
+static void
+choose_relays(struct sl_router *router, const struct sl_group *group,
+              struct sl_recipients *recipients)
+{
+    struct sl_router_peer *best[Sl_RELAYS] = {NULL};
+    uint64_t weights[Sl_RELAYS] = {0};
+    char key[Sl_NAME_MAX_BYTES + 32];
+    int len = g_snprintf(key, sizeof(key), "%s/%" G_GUINT64_FORMAT,
+                         router->options.vm.text, (guint64)router->beats);
+    for (guint i = 0; i < group->live->len; i++) {
+        struct sl_router_peer *peer = g_ptr_array_index(group->live, i);
+        uint64_t weight = SlHash_Rendezvous((struct sl_str){key, (size_t)len},
+                                            SlName_Str(&peer->vm));
+        for (size_t place = 0; place < Sl_RELAYS && peer != NULL; place++) {
+            if (best[place] == NULL || weight > weights[place]) {
+                struct sl_router_peer *next = best[place];
+                uint64_t next_weight = weights[place];
+                best[place] = peer;
+                weights[place] = weight;
+                peer = next;
+                weight = next_weight;
+            }
+        }
+    }
+    for (size_t place = 0; place < Sl_RELAYS && best[place] != NULL; place++) {
+        add(router, recipients->relays[place], best[place]);
+    }
+}
+
+static void
+choose_of(struct sl_router *router, struct sl_group *group,
+          struct sl_recipients *recipients)
+{
+    if (group->live->len == 0) {
+        choose_silent(router, group, recipients);
+    }
+    else if (group->live->len > Sl_FEW) {
+        choose_relays(router, group, recipients);
+    }
+    else {
+        for (guint i = 0; i < group->live->len; i++) {
+            add(router, recipients->plain, g_ptr_array_index(group->live, i));
+        }
+    }
+}
+
+/* Puts the peer among the recipients, or into the group of its domain. */
+static void
+sort_peer(struct sl_router *router, struct sl_router_peer *peer,
+          struct sl_recipients *recipients, GArray *groups)
+{
+    bool is_live = SlPeers_IsLive(router, peer);
+    if (SlName_Equal(&peer->domain, &router->options.domain)) {
+        if (is_live || is_time(router, peer)) {
+            add(router, recipients->plain, peer);
+        }
+        return;
+    }
+    struct sl_group *group = group_of(groups, &peer->domain);
+    if (is_live && peer->digest.boot != 0) {
+        g_ptr_array_add(group->live, peer);
+    }
+    else if (is_time(router, peer)) {
+        g_ptr_array_add(group->silent, peer);
+    }
+}
+
+void
+SlRelay_Choose(struct sl_router *router, struct sl_recipients *recipients)
+{
+    GArray *groups = g_array_new(FALSE, FALSE, sizeof(struct sl_group));
+    GHashTableIter iter;
+    gpointer value;
+    g_array_set_clear_func(groups, clear_group);
+    recipients->plain = g_ptr_array_new();
+    for (size_t place = 0; place < Sl_RELAYS; place++) {
+        recipients->relays[place] = g_ptr_array_new();
+    }
+    router->beats++;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        sort_peer(router, value, recipients, groups);
+    }
+    for (guint i = 0; i < groups->len; i++) {
+        choose_of(router, &g_array_index(groups, struct sl_group, i),
+                  recipients);
+    }
+    g_array_free(groups, TRUE);
+}
+
+/* ---- handing on ---- */
+
+static void
+hand_on(struct sl_router *router, struct sl_router_peer *peer)
+{
+    GPtrArray *recipients = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    peer->relay_us = 0;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_router_peer *other = value;
+        if (SlPeers_IsLive(router, other) &&
+            SlName_Equal(&other->domain, &router->options.domain)) {
+            g_ptr_array_add(recipients, &other->address);
+        }
+    }
+    struct sl_gossip digest = peer->digest;
+    digest.relay = 0;
+    /* Never as new as if its sender had told it. */
+    SlGossip_Age(&digest,
+                 MAX(router->now_us - peer->heard_us, Sl_US_PER_MS));
+    SlDigests_Send(router, &digest, recipients);
+}
+
+static void on_relay(void *context, uint64_t id, int64_t now_us);
+
+static void
+arm(struct sl_router *router, int64_t due_us)
+{
+    if (router->relay_timer == 0) {
+        router->relay_timer =
+            SlTimers_Subscribe(router->timers, due_us, on_relay, router, 0);
+    }
+}
+
+static void
+on_relay(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    int64_t soonest_us = Sl_NEVER_US;
+    GHashTableIter iter;
+    gpointer value;
+    (void)id;
+    router->relay_timer = 0;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_router_peer *peer = value;
+        if (peer->relay_us != 0 && peer->relay_us <= now_us) {
+            hand_on(router, peer);
+        }
+        else if (peer->relay_us != 0) {
+            soonest_us = MIN(soonest_us, peer->relay_us);
+        }
+    }
+    if (soonest_us != Sl_NEVER_US) {
+        arm(router, soonest_us);
+    }
+}
+
+void
+SlRelay_OnDigest(struct sl_router *router, const struct sl_gossip *digest)
+{
+    struct sl_router_peer *peer =
+        g_hash_table_lookup(router->peers, &digest->vm);
+    peer->relay_us = 0;
+    if (digest->relay == 1) {
+        hand_on(router, peer);
+    }
+    else if (digest->relay != 0) {
+        peer->relay_us = router->now_us + Sl_SECOND_US;
+        arm(router, peer->relay_us);
+    }
+}
+
+void
+SlRelay_OnLate(struct sl_router *router, const struct sl_gossip *digest)
+{
+    struct sl_router_peer *peer =
+        g_hash_table_lookup(router->peers, &digest->vm);
+    if (peer != NULL && digest->age_ms > 0 &&
+        digest->boot == peer->digest.boot) {
+        peer->relay_us = 0;
+    }
+}
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -146,12 +146,6 @@
 };
 
 /* A router of the fleet. */
-struct sl_member {
-    struct sl_name vm;
-    struct sl_name domain;
-    struct sl_name address; /* "IP:PORT" for peers */
-};
-
 struct sl_record {
     uint64_t offset;
     struct sl_str key;
@@ -274,7 +268,7 @@
         const struct sl_gossip *gossip;
         struct {
             size_t count;
-            const struct sl_introduced *members;
+            const struct sl_member *members;
         } introduced;
         struct {
             uint64_t conn; /* of the peer */
@@ -379,7 +373,7 @@
         struct {
             struct sl_name address;
             size_t count;
-            const struct sl_introduced *members; /* most wanted first */
+            const struct sl_member *members; /* most wanted first */
         } introduce;
         struct {
             struct sl_name address;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -8,6 +8,7 @@
  * sl_kept.c       the newest records, for peers
  * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
+ * sl_relay.c      who is told in other failure domains, and handing it on
  * sl_repeats.c    the fleet's budget of repeats
  * sl_models.c     which model answers
  * sl_answers.c    what upstreams answer, and what follows
@@ -142,11 +143,13 @@
 
 struct sl_router_peer {
     struct sl_name vm;
+    struct sl_name domain;
     struct sl_name address;
     int64_t heard_us; /* or when it was first heard of */
     int64_t sent_us;
     bool is_up;              /* as last logged */
     bool is_head;            /* the first of its failure domain */
+    int64_t relay_us;        /* its digest is handed on then; 0: not */
     struct sl_gossip digest; /* the newest; boot 0: none yet */
 };
 
@@ -332,6 +335,7 @@
     int64_t pull_at_us; /* up to when that peer's news go; 0: not known */
     int64_t handed_us;  /* up to when those go that peers handed over */
     int64_t pull_us;    /* earliest next pull */
+    int64_t offered_us; /* when a peer first had its records; 0: none yet */
     int64_t behind_us;  /* since when a peer is known to be ahead; 0: none */
     bool synced;        /* a snapshot was read */
     uint64_t complete_from; /* drops of keys are known from this offset on */
@@ -386,6 +390,8 @@
     GHashTable *rollouts;  /* service name -> struct sl_rollout, owned */
     GHashTable *peers;     /* vm name -> struct sl_router_peer, owned */
     struct sl_duties duties;
+    uint64_t beats;        /* digests to all so far */
+    uint64_t relay_timer;  /* of digests to be handed on */
     bool peers_changed;    /* the sums at upstreams are out of date */
     GHashTable *by_key;    /* key -> struct sl_upstream */
     uint64_t member_token; /* append of the own member record */
@@ -631,9 +637,12 @@
                            const struct sl_gossip *digest);
 /* A peer has named a router; is it a new one? */
 bool SlPeers_OnIntroduced(struct sl_router *router,
-                          const struct sl_introduced *member);
+                          const struct sl_member *member);
 /* Routers that are believed to live, this one included. */
 size_t SlPeers_FleetSize(const struct sl_router *router);
+/* Peers in that failure domain that are believed to live. */
+size_t SlPeers_CountDomain(const struct sl_router *router,
+                           const struct sl_name *domain);
 /* Routers among which the fleet's allowances are split: also those that have
  * fallen silent lately, and may be cut off from this one alone. */
 size_t SlPeers_SharerCount(const struct sl_router *router);
@@ -914,12 +923,36 @@
 void SlDigests_Soon(struct sl_router *router);
 /* A peer has named others. */
 void SlDigests_OnIntroduced(struct sl_router *router,
-                            const struct sl_introduced *members, size_t count);
+                            const struct sl_member *members, size_t count);
 /* Tells all peers that this router leaves. */
 void SlDigests_Leave(struct sl_router *router);
 void SlDigests_OnDigest(struct sl_router *router,
                         const struct sl_gossip *digest);
 
+/* Sends the digest. The recipients, struct sl_name, are given up. */
+void SlDigests_Send(struct sl_router *router, const struct sl_gossip *digest,
+                    GPtrArray *recipients);
+
+/* ---- relay ---- */
+
+/* Routers of a failure domain that are asked to hand a digest on. */
+#define Sl_RELAYS 2
+
+/* Whom the next digest to all goes to. */
+struct sl_recipients {
+    GPtrArray *plain;             /* struct sl_name, not owned */
+    GPtrArray *relays[Sl_RELAYS]; /* they hand it on, by place */
+};
+
+/* The recipients are the caller's. */
+void SlRelay_Choose(struct sl_router *router,
+                    struct sl_recipients *recipients);
+/* A peer's digest that is news. */
+void SlRelay_OnDigest(struct sl_router *router,
+                      const struct sl_gossip *digest);
+/* One that is no news: another router has handed it on. */
+void SlRelay_OnLate(struct sl_router *router, const struct sl_gossip *digest);
+
 /* ---- feeds ---- */
 
 void SlFeeds_Start(struct sl_router *router);
--- a/programs/sassafrasd_router_peers.c
+++ b/programs/sassafrasd_router_peers.c
@@ -47,7 +47,7 @@
 static bool
 take_introduction(struct sl_router_peers *peers, struct sl_str bytes)
 {
-    struct sl_introduced members[Sl_MAX_INTRODUCED];
+    struct sl_member members[Sl_MAX_INTRODUCED];
     struct sl_router_event event = {.type = Sl_REV_INTRODUCED};
     if (!SlIntroduction_Decode(bytes, members, &event.u.introduced.count)) {
         return false;
@@ -112,10 +112,16 @@
 send_introduction(struct sl_router_peers *peers,
                   const struct sl_router_effect *effect)
 {
+    const struct sl_member *members = effect->u.introduce.members;
+    size_t left = effect->u.introduce.count;
     struct sl_buf bytes = {0};
-    (void)SlIntroduction_Encode(effect->u.introduce.members,
-                                effect->u.introduce.count, &bytes);
-    send_datagram(peers, &effect->u.introduce.address, SlBuf_Str(&bytes));
+    while (left > 0) {
+        size_t taken = SlIntroduction_Encode(members, left, &bytes);
+        send_datagram(peers, &effect->u.introduce.address, SlBuf_Str(&bytes));
+        SlBuf_Clear(&bytes);
+        members += taken;
+        left -= taken;
+    }
     SlBuf_Free(&bytes);
 }
 
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -18,6 +18,9 @@
     digest->boot = 77;
     digest->sequence = 5;
     digest->leaving = true;
+    digest->known = 21;
+    digest->relay = 2;
+    digest->age_ms = 70;
     digest->offsets[2] = 9;
     digest->load_count = 1;
     digest->loads[0] = {0xffffffff, 3, 250};
@@ -55,6 +58,9 @@
     EXPECT_STREQ(back->address.text, "10.1.0.1:7340");
     EXPECT_EQ(back->sequence, 5u);
     EXPECT_TRUE(back->leaving);
+    EXPECT_EQ(back->known, 21u);
+    EXPECT_EQ(back->relay, 2u);
+    EXPECT_EQ(back->age_ms, 70u);
     EXPECT_EQ(back->offsets[2], 9u);
     ASSERT_EQ(back->load_count, 1u);
     EXPECT_EQ(back->loads[0].upstream, 0xffffffffu);
@@ -66,6 +72,20 @@
     EXPECT_EQ(back->rollouts[0].sessions[1], 42u);
 }
 
+// What it tells the age of gets older with it; and no age turns over.
+TEST(Gossip, Ages)
+{
+    auto digest = sample();
+    digest->fault_count = 1;
+    digest->faults[0] = {3, Sl_FAULT_LEAVING, 500};
+    digest->news_age_ms = UINT32_MAX - 5;
+    SlGossip_Age(digest.get(), 40 * Sl_US_PER_MS);
+    EXPECT_EQ(digest->age_ms, 110u);
+    EXPECT_EQ(digest->faults[0].age_ms, 540u);
+    EXPECT_EQ(digest->rollouts[0].elapsed_ms, 940u);
+    EXPECT_EQ(digest->news_age_ms, UINT32_MAX);
+}
+
 TEST(Gossip, FitsIntoADatagramWhenFull)
 {
     auto digest = sample();
--- a/tests/unit/router_fleet_world.h
+++ b/tests/unit/router_fleet_world.h
@@ -190,7 +190,7 @@
     struct pending_introduction {
         size_t router;
         std::string address;
-        std::vector<struct sl_introduced> members;
+        std::vector<struct sl_member> members;
     };
     struct page {
         bool is_snapshot = false;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -33,7 +33,8 @@
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:N:MS] [sessions=..]
 //     [fault=ID[:replaced | :leaving:MS],..] [order=] [elapsed=MS] [suspect]
 //     [answers= bad= base-answers= base-bad=] [leaving]
-//     [store-age=MS]
+//     [store-age=MS] [known=N] [relay=PLACE] [age=MS] [again]   age: it was
+//     handed on; again: the last one once more
 //   appended [conflict] [err=]   the newest append is answered
 //   introduced VM...       a peer names other routers
 //   dark UPSTREAM | light UPSTREAM   can it be connected to by health checks
@@ -619,8 +620,11 @@
         digest->domain = m.name("domain", "brest");
         digest->address = m.name("address", m.words.at(1) + ":7340");
         digest->boot = (uint64_t)m.number("boot", 7);
-        digest->sequence = ++sequences[m.words.at(1)];
+        digest->sequence = sequences[m.words.at(1)] += m.flag("again") ? 0 : 1;
         digest->leaving = m.flag("leaving");
+        digest->known = (uint32_t)m.number("known");
+        digest->relay = (uint8_t)m.number("relay");
+        digest->age_ms = (uint32_t)m.number("age");
         digest->news_age_ms =
             (uint32_t)m.number("store-age", (int64_t)UINT32_MAX);
         for (size_t i = 0; i < Sl_GOSSIP_FEEDS; i++) {
@@ -821,9 +825,9 @@
     on_introduced(const members &m)
     {
         struct sl_router_event event = world.event_of(Sl_REV_INTRODUCED);
-        std::vector<struct sl_introduced> others;
+        std::vector<struct sl_member> others;
         for (size_t i = 1; i < m.words.size(); i++) {
-            others.push_back({m.word_name(i),
+            others.push_back({m.word_name(i), m.name("domain", "brest"),
                               SlName_Of((m.words.at(i) + ":7340").c_str())});
         }
         event.u.introduced.count = others.size();
@@ -838,6 +842,13 @@
             return;
         }
         line() << "gossip";
+        if (effect.u.gossip.digest->age_ms > 0) {
+            out << " of " << effect.u.gossip.digest->vm.text
+                << " age=" << effect.u.gossip.digest->age_ms << " to";
+        }
+        if (effect.u.gossip.digest->relay > 0) {
+            out << " relay=" << (int)effect.u.gossip.digest->relay;
+        }
         for (size_t i = 0; i < effect.u.gossip.count; i++) {
             out << " " << effect.u.gossip.addresses[i]->text;
         }
