--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = build-essential cmake clang-format clang-tidy pkg-config jq curl \
-	libevent-dev libhttp-parser-dev libjansson-dev libmsgpack-dev libglib2.0-dev libgtest-dev \
+	libevent-dev libhttp-parser-dev libjansson-dev libmsgpack-dev libglib2.0-dev zlib1g-dev libgtest-dev \
 	librapidcheck-dev spin
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc')
 C_SOURCES = $(shell git ls-files -co --exclude-standard \
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -157,12 +157,16 @@
 };
 
 struct sl_page {
-    uint64_t end;     /* offset of the next record */
-    bool is_snapshot; /* keys that it does not hold are gone */
+    uint64_t end;           /* offset of the next record */
+    uint64_t complete_from; /* drops of keys are known from this offset on */
+    bool is_snapshot;       /* keys that it does not hold are gone */
     size_t count;
     const struct sl_page_record *records;
 };
 
+/* Largest page that is taken: all records of a large deployment. */
+#define Sl_PAGE_MAX_BYTES ((size_t)16 * 1024 * 1024)
+
 void SlPage_Encode(const struct sl_page *page, struct sl_buf *out);
 
 struct sl_page_reader;
--- a/lib/gossip/sl_page.c
+++ b/lib/gossip/sl_page.c
@@ -1,14 +1,23 @@
-/* Pages of records: [end, is_snapshot, [[offset, key, value], ...]]. */
+/*
+ * Pages of records: [end, complete_from, is_snapshot, [[offset, key, value],
+ * ...]], packed as [length, bytes]. Records are alike, so that a snapshot
+ * shrinks to a tenth; links of small VMs carry a megabyte a second.
+ */
 #include "sl_gossip.h"
 
 #include <msgpack.h>
+#include <zlib.h>
 
 static const char step[] = "page.decode";
 
-#define Sl_PAGE_FIELDS 3
+#define Sl_PAGE_FIELDS 4
 #define Sl_RECORD_FIELDS 3
+#define Sl_PACKED_FIELDS 2
+/* Shorter pages are sent as they are. */
+#define Sl_PACK_FROM_BYTES 1024
 
 struct sl_page_reader {
+    char *bytes; /* of the page, unpacked */
     msgpack_unpacked unpacked;
     GArray *records; /* struct sl_page_record */
 };
@@ -29,13 +38,35 @@
     msgpack_pack_bin_body(packer, bytes.ptr, bytes.len);
 }
 
-void
-SlPage_Encode(const struct sl_page *page, struct sl_buf *out)
+/* Appends [length, bytes]. */
+static void
+pack(struct sl_str bytes, struct sl_buf *out)
+{
+    uLongf len = compressBound(bytes.len);
+    char *packed = g_malloc(len);
+    msgpack_packer packer;
+    if (bytes.len < Sl_PACK_FROM_BYTES ||
+        compress2((Bytef *)packed, &len, (const Bytef *)bytes.ptr, bytes.len,
+                  Z_BEST_SPEED) != Z_OK ||
+        len >= bytes.len) {
+        memcpy(packed, bytes.ptr, bytes.len);
+        len = bytes.len;
+    }
+    msgpack_packer_init(&packer, out, write_bytes);
+    msgpack_pack_array(&packer, Sl_PACKED_FIELDS);
+    msgpack_pack_uint64(&packer, bytes.len);
+    pack_bytes(&packer, (struct sl_str){packed, len});
+    g_free(packed);
+}
+
+static void
+encode(const struct sl_page *page, struct sl_buf *out)
 {
     msgpack_packer packer;
     msgpack_packer_init(&packer, out, write_bytes);
     msgpack_pack_array(&packer, Sl_PAGE_FIELDS);
     msgpack_pack_uint64(&packer, page->end);
+    msgpack_pack_uint64(&packer, page->complete_from);
     if (page->is_snapshot) {
         msgpack_pack_true(&packer);
     }
@@ -51,6 +82,15 @@
     }
 }
 
+void
+SlPage_Encode(const struct sl_page *page, struct sl_buf *out)
+{
+    struct sl_buf bytes = {0};
+    encode(page, &bytes);
+    pack(SlBuf_Str(&bytes), out);
+    SlBuf_Free(&bytes);
+}
+
 /* ---- decode ---- */
 
 static bool
@@ -86,12 +126,14 @@
     const msgpack_object *top = &reader->unpacked.data;
     if (!is_array_of(top, Sl_PAGE_FIELDS) ||
         top->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        top->via.array.ptr[1].type != MSGPACK_OBJECT_BOOLEAN ||
-        top->via.array.ptr[2].type != MSGPACK_OBJECT_ARRAY) {
+        top->via.array.ptr[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        top->via.array.ptr[2].type != MSGPACK_OBJECT_BOOLEAN ||
+        top->via.array.ptr[3].type != MSGPACK_OBJECT_ARRAY) {
         return false;
     }
-    const msgpack_object_array *list = &top->via.array.ptr[2].via.array;
-    page->is_snapshot = top->via.array.ptr[1].via.boolean;
+    const msgpack_object_array *list = &top->via.array.ptr[3].via.array;
+    page->is_snapshot = top->via.array.ptr[2].via.boolean;
+    page->complete_from = top->via.array.ptr[1].via.u64;
     page->end = top->via.array.ptr[0].via.u64;
     for (uint32_t i = 0; i < list->size; i++) {
         struct sl_page_record record;
@@ -106,16 +148,62 @@
     return true;
 }
 
+static char *
+inflate_to(struct sl_str packed, size_t len)
+{
+    char *out = g_malloc(len + 1);
+    uLongf got = len;
+    if (packed.len == len) {
+        memcpy(out, packed.ptr, len);
+        return out;
+    }
+    if (uncompress((Bytef *)out, &got, (const Bytef *)packed.ptr,
+                   packed.len) != Z_OK ||
+        got != len) {
+        g_free(out);
+        return NULL;
+    }
+    return out;
+}
+
+/* The unpacked bytes; NULL when they are not what they say. */
+static char *
+unpack(struct sl_str bytes, size_t *len)
+{
+    msgpack_unpacked unpacked;
+    size_t at = 0;
+    char *out = NULL;
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, bytes.ptr, bytes.len, &at) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        at == bytes.len && is_array_of(&unpacked.data, Sl_PACKED_FIELDS)) {
+        const msgpack_object *fields = unpacked.data.via.array.ptr;
+        if (fields[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+            fields[0].via.u64 <= Sl_PAGE_MAX_BYTES &&
+            fields[1].type == MSGPACK_OBJECT_BIN) {
+            out = inflate_to(
+                (struct sl_str){fields[1].via.bin.ptr, fields[1].via.bin.size},
+                fields[0].via.u64);
+            *len = fields[0].via.u64;
+        }
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return out;
+}
+
 struct sl_page_reader *
 SlPage_Decode(struct sl_str bytes, struct sl_page *page, struct sl_error *err)
 {
     struct sl_page_reader *reader = g_new0(struct sl_page_reader, 1);
     size_t at = 0;
+    size_t len = 0;
     msgpack_unpacked_init(&reader->unpacked);
     reader->records = g_array_new(FALSE, FALSE, sizeof(struct sl_page_record));
-    if (msgpack_unpack_next(&reader->unpacked, bytes.ptr, bytes.len, &at) !=
+    reader->bytes = unpack(bytes, &len);
+    if (reader->bytes == NULL ||
+        msgpack_unpack_next(&reader->unpacked, reader->bytes, len, &at) !=
             MSGPACK_UNPACK_SUCCESS ||
-        at != bytes.len || !read_page(reader, page)) {
+        at != len || !read_page(reader, page)) {
         (void)SlError_Set(err, Sl_ERR_INVALID, step, "",
                           "%zu bytes are not a page of records", bytes.len);
         SlPage_Free(reader);
@@ -129,5 +217,6 @@
 {
     msgpack_unpacked_destroy(&reader->unpacked);
     g_array_free(reader->records, TRUE);
+    g_free(reader->bytes);
     g_free(reader);
 }
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -21,6 +21,14 @@
 #define Sl_REGISTER_AFTER_US (500 * Sl_US_PER_MS)
 #define Sl_REGISTER_SPREAD_US (2 * Sl_US_PER_S)
 
+/* Seeds may just be starting themselves. While nobody has been heard they are
+ * greeted again, and with them some of the members that the store names: soon
+ * at first, and then at longer pauses. */
+#define Sl_GREET_US (100 * Sl_US_PER_MS)
+#define Sl_GREET_SOON_US Sl_US_PER_S
+#define Sl_GREET_MAX_US (2 * Sl_US_PER_S)
+#define Sl_GREETED_MEMBERS 8
+
 /* Has it met others by asking them? */
 static bool
 has_met_others(const struct sl_router *router)
@@ -132,32 +140,77 @@
     }
 }
 
-/* Tells the failure domain; of news of the store also the heads of others. */
 static void
-tell_domain(struct sl_router *router, bool has_news)
+add_domain(struct sl_router *router, GPtrArray *recipients)
 {
-    GPtrArray *recipients = g_ptr_array_new();
-    struct sl_gossip digest = {0};
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_router_peer *peer = value;
         if (SlPeers_IsLive(router, peer) &&
-            (SlName_Equal(&peer->domain, &router->options.domain) ||
-             (has_news && peer->is_head))) {
+            SlName_Equal(&peer->domain, &router->options.domain)) {
             g_ptr_array_add(recipients, &peer->address);
         }
     }
-    if (!has_news) {
-        router->domain_peers = recipients->len;
+}
+
+/* Heads of the other failure domains, by the duties of now. */
+static void
+add_heads(struct sl_router *router, GPtrArray *recipients)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_router_peer *peer = value;
+        if (peer->is_head && SlPeers_IsLive(router, peer) &&
+            !SlName_Equal(&peer->domain, &router->options.domain)) {
+            g_ptr_array_add(recipients, &peer->address);
+        }
     }
+}
+
+static void
+tell(struct sl_router *router, GPtrArray *recipients)
+{
+    struct sl_gossip digest = {0};
     if (recipients->len > 0) {
         fill_digest(router, &digest);
     }
     SlDigests_Send(router, &digest, recipients);
 }
 
+static void
+tell_domain(struct sl_router *router)
+{
+    GPtrArray *recipients = g_ptr_array_new();
+    add_domain(router, recipients);
+    router->domain_peers = recipients->len;
+    tell(router, recipients);
+}
+
+static void
+tell_news(struct sl_router *router)
+{
+    GPtrArray *recipients = g_ptr_array_new();
+    const struct sl_duties *duties = SlPeers_Duties(router);
+    bool has_tree = SlTree_IsUsed(router);
+    if (has_tree) {
+        SlTree_AddChildren(router, recipients);
+        if (router->reads_store) {
+            SlTree_AddHead(router, recipients); /* whose readers are silent */
+        }
+    }
+    else {
+        add_domain(router, recipients);
+    }
+    if (!has_tree || duties->own_rank == 0 || SlFeeds_IsReader(router)) {
+        add_heads(router, recipients);
+    }
+    tell(router, recipients);
+}
+
 /* Sends a digest to one address. */
 static void
 tell_one(struct sl_router *router, const struct sl_name *address)
@@ -254,6 +307,7 @@
 SlDigests_OnIntroduced(struct sl_router *router,
                        const struct sl_member *members, size_t count)
 {
+    router->introduced = true;
     for (size_t i = 0; i < count; i++) {
         if (SlPeers_OnIntroduced(router, &members[i])) {
             tell_one(router, &members[i].address);
@@ -281,29 +335,39 @@
     struct sl_router *router = context;
     (void)id;
     (void)now_us;
-    bool has_news = router->has_news;
     router->gossip_timer = 0;
-    router->has_news = false;
-    (void)SlPeers_Duties(router);
-    tell_domain(router, has_news);
+    tell_domain(router);
 }
 
 void
 SlDigests_Soon(struct sl_router *router)
 {
     int64_t peers = (int64_t)MAX(router->domain_peers, Sl_SOON_PEERS);
-    int64_t pause_us =
-        router->has_news ? Sl_SOON_US : Sl_SOON_US * peers / Sl_SOON_PEERS;
-    int64_t due_us = router->now_us + pause_us;
-    if (router->gossip_timer != 0 && router->gossip_due_us <= due_us) {
-        return;
+    if (router->gossip_timer == 0) {
+        router->gossip_timer = SlTimers_Subscribe(
+            router->timers,
+            router->now_us + Sl_SOON_US * peers / Sl_SOON_PEERS, on_soon,
+            router, 0);
     }
-    if (router->gossip_timer != 0) {
-        SlTimers_Cancel(router->timers, router->gossip_timer);
+}
+
+static void
+on_news(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    router->news_timer = 0;
+    tell_news(router);
+}
+
+void
+SlDigests_News(struct sl_router *router)
+{
+    if (router->news_timer == 0) {
+        router->news_timer = SlTimers_Subscribe(
+            router->timers, router->now_us + Sl_SOON_US, on_news, router, 0);
     }
-    router->gossip_due_us = due_us;
-    router->gossip_timer =
-        SlTimers_Subscribe(router->timers, due_us, on_soon, router, 0);
 }
 
 void
@@ -390,6 +454,37 @@
     return greeted;
 }
 
+static void
+greet_members(struct sl_router *router)
+{
+    uint32_t known = g_hash_table_size(router->peers);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        if (SlRandom_Below(&router->random, known) < Sl_GREETED_MEMBERS) {
+            tell_one(router, &peer->address);
+        }
+    }
+}
+
+static void
+on_greet(void *context, uint64_t pause_us, int64_t now_us)
+{
+    struct sl_router *router = context;
+    if (SlPeers_HasHeard(router)) {
+        return;
+    }
+    (void)greet_seeds(router);
+    greet_members(router);
+    if (now_us - router->started_us >= Sl_GREET_SOON_US) {
+        pause_us = MIN(2 * pause_us, (uint64_t)Sl_GREET_MAX_US);
+    }
+    SlTimers_Subscribe(router->timers, now_us + (int64_t)pause_us, on_greet,
+                       router, pause_us);
+}
+
 void
 SlDigests_Start(struct sl_router *router)
 {
@@ -399,6 +494,8 @@
     else {
         int64_t after_us = SlRandom_Below(
             &router->random, (uint32_t)(Sl_REGISTER_SPREAD_US / Sl_US_PER_MS));
+        SlTimers_Subscribe(router->timers, router->now_us + Sl_GREET_US,
+                           on_greet, router, Sl_GREET_US);
         SlTimers_Subscribe(router->timers,
                            router->now_us + Sl_REGISTER_AFTER_US +
                                after_us * Sl_US_PER_MS,
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -38,12 +38,12 @@
 /* A store that answered nobody for so long was away. Entries lapse after three
  * heartbeats, which take longer. */
 #define Sl_AWAY_US (2500 * Sl_US_PER_MS)
-/* A router that starts asks the store unless a peer answers its digest by
- * then; when all of them start, there is no hurry. */
-#define Sl_HELLO_WAIT_US (80 * Sl_US_PER_MS)
-#define Sl_FIRST_WAIT_US Sl_US_PER_S
-/* News reach routers at times that differ by less than this. */
+/* News reach routers at times that differ by less than this; in a large domain
+ * by as much again for each router that hands them on. */
 #define Sl_BEHIND_US (200 * Sl_US_PER_MS)
+/* Those of a large domain, of which many are behind at once, take news from
+ * other domains so much later. */
+#define Sl_BEHIND_ALL_US (600 * Sl_US_PER_MS)
 /* A router without live peers hears of missed news from nobody. */
 #define Sl_LONE_WAIT_US Sl_US_PER_S
 
@@ -159,10 +159,8 @@
     SlLine_Int(router, "store_age_ms", age == UINT32_MAX ? -1 : (int64_t)age);
 }
 
-/* Is it this router's part to read the store for the others? The first ones
- * of some failure domains do; with fewer domains, more of each. */
-static bool
-is_reader(struct sl_router *router)
+bool
+SlFeeds_IsReader(struct sl_router *router)
 {
     const struct sl_duties *duties = SlPeers_Duties(router);
     size_t each = (Sl_READERS + duties->domains - 1) / duties->domains;
@@ -173,10 +171,17 @@
 static bool
 is_handed_news(struct sl_router *router)
 {
-    return !is_reader(router) &&
+    return !SlFeeds_IsReader(router) &&
            age_ms(router, handed_us(router)) < Sl_READER_AGE_MS;
 }
 
+static bool
+is_feed_handed(struct sl_router *router, enum sl_feed feed)
+{
+    return !SlFeeds_IsReader(router) &&
+           age_ms(router, router->feeds[feed].handed_us) < Sl_READER_AGE_MS;
+}
+
 void
 SlFeeds_NoteDuty(struct sl_router *router)
 {
@@ -203,16 +208,6 @@
            router->feeds[Sl_PULSE].failures > 0;
 }
 
-/* Is a peer about to hand this router what it has not read yet? */
-static bool
-is_being_handed(const struct sl_router *router,
-                const struct sl_feed_state *state)
-{
-    bool is_offered = state->offered_us != 0 &&
-                      router->now_us - state->offered_us < Sl_BEHIND_US;
-    return !state->synced && (state->pulling || is_offered);
-}
-
 static void
 on_read_due(void *context, uint64_t id, int64_t now_us)
 {
@@ -222,10 +217,12 @@
     if (waits_for_pulse(router, (enum sl_feed)id)) {
         router->feeds[id].waits_for_pulse = true;
     }
-    else if (is_being_handed(router, &router->feeds[id])) {
-        read_after(router, (enum sl_feed)id, Sl_HELLO_WAIT_US);
+    else if (!router->feeds[id].synced &&
+             SlFirst_Waits(router, (enum sl_feed)id)) {
+        read_after(router, (enum sl_feed)id, Sl_FIRST_CHECK_US);
     }
-    else if (router->feeds[id].synced && is_handed_news(router)) {
+    else if (router->feeds[id].synced &&
+             is_feed_handed(router, (enum sl_feed)id)) {
         read_after(router, (enum sl_feed)id, Sl_READER_CHECK_US);
     }
     else {
@@ -262,26 +259,10 @@
     }
 }
 
-/* How long peers are waited for before the store is asked. */
-static int64_t
-start_wait_us(const struct sl_router *router)
-{
-    const struct sl_router_options *options = &router->options;
-    bool is_seed = SlName_IsListed(options->seeds, options->seed_count,
-                                   &options->peer_address);
-    if (options->seed_count == (is_seed ? 1 : 0)) {
-        return 0; /* nobody is asked */
-    }
-    if (options->is_first_start) {
-        return is_seed ? 0 : Sl_FIRST_WAIT_US;
-    }
-    return Sl_HELLO_WAIT_US;
-}
-
 void
 SlFeeds_Start(struct sl_router *router)
 {
-    int64_t wait_us = start_wait_us(router);
+    int64_t wait_us = SlFirst_WaitUs(router);
     for (int i = 0; i < Sl_FEED_COUNT; i++) {
         enum sl_feed feed = (enum sl_feed)i;
         router->feeds[i].kept = SlKept_New();
@@ -461,16 +442,20 @@
     struct sl_feed_state *state = &router->feeds[feed];
     if (event->u.feed.snapshot) {
         drop_missing(router, event);
-        state->complete_from = event->u.feed.end;
+        /* A snapshot of the store tells of no drops before its end. */
+        state->complete_from =
+            event->type == Sl_REV_PULLED
+                ? MIN(event->u.feed.complete_from, event->u.feed.end)
+                : event->u.feed.end;
     }
     for (size_t i = 0; i < event->u.feed.count; i++) {
         take_record(router, feed, &event->u.feed.records[i]);
     }
     if (event->u.feed.end > state->next &&
-        (event->type == Sl_REV_FEED ||
+        (event->type == Sl_REV_FEED || SlTree_IsUsed(router) ||
          SlPeers_Duties(router)->own_rank == 0)) {
-        /* Others wait for it. Who took it from a peer of its domain has
-         * nothing to tell that the domain does not know. */
+        /* Others wait for it. In a small domain, who took it from a peer there
+         * has nothing to tell that the domain does not know. */
         router->has_news = true;
     }
     state->synced = true;
@@ -500,7 +485,7 @@
         pause_us *= 2;
     }
     const struct sl_duties *duties = SlPeers_Duties(router);
-    size_t turn = is_reader(router) ? 0 : 1 + duties->own_rank;
+    size_t turn = SlFeeds_IsReader(router) ? 0 : 1 + duties->own_rank;
     return jittered_us(router, pause_us * (int64_t)(1 + turn), Sl_READ_JITTER);
 }
 
@@ -634,14 +619,19 @@
     }
     SlLine_End(router, level);
     if (event->err == NULL) {
+        if (!state->synced && state->reading) {
+            /* A peer was faster than the store. */
+            cancel_read(router, event->u.feed.feed);
+            read_after(router, event->u.feed.feed, Sl_READER_CHECK_US);
+        }
         take_page(router, event);
         state->handed_us = MAX(state->handed_us, state->pull_at_us);
     }
 }
 
-static void
-pull(struct sl_router *router, enum sl_feed feed,
-     const struct sl_gossip *digest)
+void
+SlFeeds_Pull(struct sl_router *router, enum sl_feed feed,
+             const struct sl_gossip *digest)
 {
     struct sl_feed_state *state = &router->feeds[feed];
     if (state->pulling || router->now_us < state->pull_us) {
@@ -680,53 +670,39 @@
         }
         return;
     }
-    pull(router, feed, digest);
+    SlFeeds_Pull(router, feed, digest);
 }
 
-/* Has it been behind for so long that its domain will not hand it the news? */
+/* Has it been behind for so long that those who should hand it the news will
+ * not? */
 static bool
-is_left_behind(struct sl_router *router, enum sl_feed feed)
+is_left_behind(struct sl_router *router, enum sl_feed feed, bool is_near)
 {
     struct sl_feed_state *state = &router->feeds[feed];
+    int64_t limit_us = Sl_BEHIND_US;
+    if (SlTree_IsUsed(router)) {
+        limit_us = Sl_BEHIND_US * (int64_t)SlTree_Depth(router) +
+                   (is_near ? 0 : Sl_BEHIND_ALL_US);
+    }
     if (state->behind_us == 0) {
         state->behind_us = router->now_us;
     }
-    return router->now_us - state->behind_us >= Sl_BEHIND_US;
+    return router->now_us - state->behind_us >= limit_us;
 }
 
 /* May the records come from that peer? Its own domain goes first, so that few
- * bytes pass between domains. */
+ * bytes pass between domains, and in a large one its parent there. */
 static bool
 may_pull_from(struct sl_router *router, enum sl_feed feed,
               const struct sl_gossip *digest)
 {
-    return SlName_Equal(&digest->domain, &router->options.domain) ||
-           SlPeers_Duties(router)->own_rank == 0 ||
-           is_left_behind(router, feed);
-}
-
-/* This router has just started, and the peer has news. */
-static void
-take_first(struct sl_router *router, enum sl_feed feed,
-           const struct sl_gossip *digest)
-{
-    struct sl_feed_state *state = &router->feeds[feed];
-    bool is_fresh = digest->news_age_ms < Sl_READER_AGE_MS;
-    if (!is_fresh && state->fail_since_us == 0) {
-        return; /* the store knows better, if it answers */
-    }
-    if (digest->offsets[feed] > 0) {
-        if (state->offered_us == 0) {
-            state->offered_us = router->now_us;
-        }
-        if (may_pull_from(router, feed, digest)) {
-            pull(router, feed, digest);
-        }
-    }
-    else if (is_fresh && digest->offsets[Sl_FEED_UPSTREAMS] > 0) {
-        state->synced = true; /* nothing was ever written to it */
-        state->handed_us = router->now_us - digest->news_age_ms * Sl_US_PER_MS;
+    bool is_near = SlName_Equal(&digest->domain, &router->options.domain);
+    if (SlPeers_Duties(router)->own_rank == 0 ||
+        (SlTree_IsUsed(router) ? SlTree_IsParent(router, &digest->vm)
+                               : is_near)) {
+        return true;
     }
+    return is_left_behind(router, feed, is_near);
 }
 
 static void
@@ -752,7 +728,7 @@
     for (int i = 0; i < Sl_GOSSIP_FEEDS; i++) {
         enum sl_feed feed = (enum sl_feed)i;
         if (!router->feeds[i].synced) {
-            take_first(router, feed, digest);
+            SlFirst_OnDigest(router, feed, digest);
         }
         if (digest->offsets[i] <= router->feeds[i].next) {
             continue;
@@ -761,7 +737,7 @@
             catch_up(router, feed, digest);
         }
         else if (may_pull_from(router, feed, digest)) {
-            pull(router, feed, digest);
+            SlFeeds_Pull(router, feed, digest);
         }
     }
 }
--- a/lib/router/sl_kept.c
+++ b/lib/router/sl_kept.c
@@ -126,6 +126,7 @@
     effect->u.page.conn = conn;
     effect->u.page.page.end = state->synced ? state->next : 0;
     effect->u.page.page.is_snapshot = is_snapshot;
+    effect->u.page.page.complete_from = state->complete_from;
     effect->u.page.page.count = records->len;
     effect->u.page.page.records =
         (const struct sl_page_record *)(void *)records->data;
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -33,6 +33,21 @@
                Sl_SILENT_BEATS * SlPeers_BeatUs(router);
 }
 
+bool
+SlPeers_HasHeard(const struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        if (peer->digest.boot != 0 && SlPeers_IsLive(router, peer)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 size_t
 SlPeers_FleetSize(const struct sl_router *router)
 {
@@ -79,11 +94,14 @@
     return known;
 }
 
+/* The place of a router among those that live. */
 static size_t
-rank_of(const struct sl_router *router, struct sl_str key, bool in_domain)
+rank_of(const struct sl_router *router, const struct sl_name *vm,
+        struct sl_str key, bool in_domain)
 {
+    uint64_t weight = SlHash_Rendezvous(key, SlName_Str(vm));
     uint64_t own = SlHash_Rendezvous(key, SlName_Str(&router->options.vm));
-    size_t rank = 0;
+    size_t rank = own > weight ? 1 : 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, router->peers);
@@ -94,7 +112,7 @@
              !SlName_Equal(&peer->domain, &router->options.domain))) {
             continue;
         }
-        if (SlHash_Rendezvous(key, SlName_Str(&peer->vm)) > own) {
+        if (SlHash_Rendezvous(key, SlName_Str(&peer->vm)) > weight) {
             rank++;
         }
     }
@@ -104,7 +122,7 @@
 size_t
 SlPeers_Rank(const struct sl_router *router, struct sl_str key)
 {
-    return rank_of(router, key, false);
+    return rank_of(router, &router->options.vm, key, false);
 }
 
 /* ---- duties ---- */
@@ -175,6 +193,40 @@
     return domains;
 }
 
+size_t
+SlPeers_DomainRank(const struct sl_router *router, const struct sl_name *vm)
+{
+    return rank_of(router, vm, Sl_HEAD_KEY, true);
+}
+
+static gint
+by_place(gconstpointer left, gconstpointer right)
+{
+    const struct sl_router_peer *a = *(struct sl_router_peer *const *)left;
+    const struct sl_router_peer *b = *(struct sl_router_peer *const *)right;
+    uint64_t first = SlHash_Rendezvous(Sl_HEAD_KEY, SlName_Str(&a->vm));
+    uint64_t second = SlHash_Rendezvous(Sl_HEAD_KEY, SlName_Str(&b->vm));
+    return first > second ? -1 : first < second;
+}
+
+GPtrArray *
+SlPeers_InOrder(const struct sl_router *router)
+{
+    GPtrArray *peers = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_peer *peer = value;
+        if (SlPeers_IsLive(router, peer) &&
+            SlName_Equal(&peer->domain, &router->options.domain)) {
+            g_ptr_array_add(peers, value);
+        }
+    }
+    g_ptr_array_sort(peers, by_place);
+    return peers;
+}
+
 static void
 refresh_duties(struct sl_router *router)
 {
@@ -196,7 +248,7 @@
                 ? 1
                 : 0;
     }
-    duties->own_rank = rank_of(router, Sl_HEAD_KEY, true);
+    duties->own_rank = SlPeers_DomainRank(router, &router->options.vm);
     g_array_free(domains, TRUE);
 }
 
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -269,10 +269,14 @@
         SlWaiting_Run(router);
     }
     SlWatch_Arm(router);
-    if (router->loads_changed || router->has_news) {
+    if (router->loads_changed) {
         router->loads_changed = false;
         SlDigests_Soon(router);
     }
+    if (router->has_news) {
+        router->has_news = false;
+        SlDigests_News(router);
+    }
     if (router->stopped_accepting && g_hash_table_size(router->flights) == 0) {
         leave(router);
     }
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -254,7 +254,9 @@
         } checked;
         struct {
             enum sl_feed feed;
-            bool snapshot;  /* the newest of each key; all of them */
+            bool snapshot; /* the newest of each key; all of them */
+            /* PULLED: the peer knows of drops of keys from there on. */
+            uint64_t complete_from;
             bool truncated; /* records from `from` on are gone */
             uint64_t end;   /* offset of the next record */
             size_t count;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -5,6 +5,7 @@
  * sl_dump.c       state as JSON
  * sl_stall.c      after the process did not run
  * sl_feeds.c      following the store's topics
+ * sl_first.c      from whom a router that starts has its first records
  * sl_kept.c       the newest records, for peers
  * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
@@ -341,7 +342,6 @@
     uint64_t complete_from; /* drops of keys are known from this offset on */
     bool refreshing; /* since a stall nothing has told that it is current */
     uint64_t next;
-    int64_t retry_us;
     int64_t fail_since_us; /* 0: the last read went well */
     unsigned failures;     /* reads that failed in a row */
     bool waits_for_pulse;  /* it is read again when the store answers */
@@ -353,6 +353,10 @@
 struct sl_router {
     struct sl_router_options options;
     int64_t started_us;
+    int64_t seeds_until_us; /* the seeds are waited for; 0: not yet */
+    bool introduced;        /* a peer has named others */
+    bool members_asked;     /* as no seed answered */
+    int64_t members_us;     /* they have been read; 0: not yet */
     int64_t now_us;
     int64_t wall_ms;
     struct sl_random random;
@@ -400,7 +404,7 @@
     bool loads_changed;    /* peers of the failure domain are told soon */
     bool has_news;         /* of the store, that they were not told yet */
     uint64_t gossip_timer; /* to peers of the own failure domain, soon */
-    int64_t gossip_due_us;
+    uint64_t news_timer;
     size_t domain_peers; /* that the last digest to the domain went to */
     uint64_t digest_sequence;
     GHashTable *flights;  /* conn -> struct sl_flight, owned */
@@ -639,6 +643,8 @@
 bool SlPeers_OnIntroduced(struct sl_router *router,
                           const struct sl_member *member);
 /* Routers that are believed to live, this one included. */
+/* Has any live peer been heard, not only read of? */
+bool SlPeers_HasHeard(const struct sl_router *router);
 size_t SlPeers_FleetSize(const struct sl_router *router);
 /* Peers in that failure domain that are believed to live. */
 size_t SlPeers_CountDomain(const struct sl_router *router,
@@ -649,6 +655,12 @@
 /* This router's place among those that live, by `key`: 0 is the first to
  * act. */
 size_t SlPeers_Rank(const struct sl_router *router, struct sl_str key);
+/* The place of a router of the own failure domain there; 0 is its head. */
+size_t SlPeers_DomainRank(const struct sl_router *router,
+                          const struct sl_name *vm);
+/* The peers of the own failure domain that live, in that order; to be freed.
+ */
+GPtrArray *SlPeers_InOrder(const struct sl_router *router);
 /* Where this router stands, not older than 100 ms; the heads of the other
  * failure domains are marked among the peers. */
 const struct sl_duties *SlPeers_Duties(struct sl_router *router);
@@ -933,6 +945,22 @@
 void SlDigests_Send(struct sl_router *router, const struct sl_gossip *digest,
                     GPtrArray *recipients);
 
+/* There is news of the store: those that wait for it are told at once. */
+void SlDigests_News(struct sl_router *router);
+
+/* ---- tree ---- */
+
+/* How many routers of the failure domain stand above this one. */
+size_t SlTree_Depth(struct sl_router *router);
+/* Does this router have its news from that one? */
+bool SlTree_IsParent(struct sl_router *router, const struct sl_name *vm);
+/* Is the domain so large that news goes down the tree? */
+bool SlTree_IsUsed(const struct sl_router *router);
+/* Adds the addresses of those that have their news from this router. */
+void SlTree_AddChildren(struct sl_router *router, GPtrArray *recipients);
+/* Adds the address of the domain's head, if that is another router. */
+void SlTree_AddHead(struct sl_router *router, GPtrArray *recipients);
+
 /* ---- relay ---- */
 
 /* Routers of a failure domain that are asked to hand a digest on. */
@@ -953,6 +981,20 @@
 /* One that is no news: another router has handed it on. */
 void SlRelay_OnLate(struct sl_router *router, const struct sl_gossip *digest);
 
+/* ---- first records ---- */
+
+/* A router that waits for its first records looks again this often. */
+#define Sl_FIRST_CHECK_US (80 * Sl_US_PER_MS)
+
+/* How long a router that starts waits for peers before it looks again, or
+ * asks the store; 0: it asks at once. */
+int64_t SlFirst_WaitUs(const struct sl_router *router);
+/* Are peers to hand this router the feed's first records? May ask one. */
+bool SlFirst_Waits(struct sl_router *router, enum sl_feed feed);
+/* A peer tells what it has; this router has nothing of that feed yet. */
+void SlFirst_OnDigest(struct sl_router *router, enum sl_feed feed,
+                      const struct sl_gossip *digest);
+
 /* ---- feeds ---- */
 
 void SlFeeds_Start(struct sl_router *router);
@@ -972,6 +1014,12 @@
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
 /* The same, or since it last answered one whose news this router has. */
 uint32_t SlFeeds_NewsAgeMs(const struct sl_router *router);
+/* Is it this router's part to read the store for the others? The first ones
+ * of some failure domains do; with fewer domains, more of each. */
+bool SlFeeds_IsReader(struct sl_router *router);
+/* Takes records from that peer, unless a pull is under way or too near. */
+void SlFeeds_Pull(struct sl_router *router, enum sl_feed feed,
+                  const struct sl_gossip *digest);
 void SlFeeds_OnAnswer(struct sl_router *router,
                       const struct sl_router_event *event);
 /* A peer has answered our pull. */
--- /dev/null
+++ b/lib/router/sl_tree.c
@@ -0,0 +1,69 @@
+/*
+ * The routers of a failure domain as a tree: they stand in the order of its
+ * heads, and each tells a few that stand behind it and hands records to them.
+ * Answers domains of many routers, whose head could not tell all of them of
+ * each change: ten changes a second in a domain of a hundred are more than the
+ * link of a small VM carries.
+ */
+#include "sl_router_internal.h"
+
+/* Routers that one tells of news. */
+#define Sl_CHILDREN 3
+/* In a domain of no more peers the head tells all: it is the shortest way. */
+#define Sl_FLAT_PEERS 12
+
+static size_t
+parent_of(size_t rank)
+{
+    return (rank - 1) / Sl_CHILDREN;
+}
+
+size_t
+SlTree_Depth(struct sl_router *router)
+{
+    size_t depth = 0;
+    for (size_t rank = SlPeers_Duties(router)->own_rank; rank > 0;
+         rank = parent_of(rank)) {
+        depth++;
+    }
+    return depth;
+}
+
+bool
+SlTree_IsParent(struct sl_router *router, const struct sl_name *vm)
+{
+    size_t rank = SlPeers_Duties(router)->own_rank;
+    return rank > 0 && SlPeers_DomainRank(router, vm) == parent_of(rank);
+}
+
+bool
+SlTree_IsUsed(const struct sl_router *router)
+{
+    return SlPeers_CountDomain(router, &router->options.domain) >
+           Sl_FLAT_PEERS;
+}
+
+void
+SlTree_AddChildren(struct sl_router *router, GPtrArray *recipients)
+{
+    size_t first = SlPeers_Duties(router)->own_rank * Sl_CHILDREN + 1;
+    GPtrArray *peers = SlPeers_InOrder(router);
+    /* Without this router: those behind it stand one place further ahead. */
+    for (size_t rank = first;
+         rank < first + Sl_CHILDREN && rank - 1 < peers->len; rank++) {
+        struct sl_router_peer *child = g_ptr_array_index(peers, rank - 1);
+        g_ptr_array_add(recipients, &child->address);
+    }
+    g_ptr_array_free(peers, TRUE);
+}
+
+void
+SlTree_AddHead(struct sl_router *router, GPtrArray *recipients)
+{
+    GPtrArray *peers = SlPeers_InOrder(router);
+    if (SlPeers_Duties(router)->own_rank > 0 && peers->len > 0) {
+        struct sl_router_peer *head = g_ptr_array_index(peers, 0);
+        g_ptr_array_add(recipients, &head->address);
+    }
+    g_ptr_array_free(peers, TRUE);
+}
--- a/programs/sassafrasd_router_peers.c
+++ b/programs/sassafrasd_router_peers.c
@@ -12,8 +12,6 @@
 /* Peers are near: a connection is made in milliseconds. */
 #define Sl_PULL_CONNECT_US (400 * Sl_US_PER_MS)
 #define Sl_PULL_SILENCE_US Sl_US_PER_S
-/* Largest page that is taken: all records of a large deployment. */
-#define Sl_PAGE_MAX_BYTES ((size_t)16 * 1024 * 1024)
 static const char pull_path[] = "/records/";
 
 static const struct sl_server_limits peer_limits = {
@@ -178,6 +176,7 @@
     event->u.feed.count = page->count;
     event->u.feed.records = records;
     event->u.feed.snapshot = page->is_snapshot;
+    event->u.feed.complete_from = page->complete_from;
     SlRouterShell_Dispatch(pull->peers->shell, event);
     for (size_t i = 0; i < page->count; i++) {
         SlPlatform_ClearRecord(&records[i]);
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -142,7 +142,7 @@
         {3, Sl_STR("config"), Sl_STR("{}")},
         {9, Sl_STR("evacuate/x"), Sl_STR("")},
     };
-    struct sl_page page = {10, true, 2, records};
+    struct sl_page page = {10, 7, true, 2, records};
     struct sl_page back = {};
     struct sl_buf buf = {};
     struct sl_error err;
@@ -151,6 +151,7 @@
         SlPage_Decode(SlBuf_Str(&buf), &back, &err);
     ASSERT_NE(reader, nullptr) << err.text;
     EXPECT_EQ(back.end, 10u);
+    EXPECT_EQ(back.complete_from, 7u);
     ASSERT_EQ(back.count, 2u);
     EXPECT_EQ(back.records[1].offset, 9u);
     EXPECT_TRUE(SlStr_Equal(back.records[0].key, Sl_STR("config")));
@@ -160,3 +161,86 @@
     EXPECT_EQ(SlPage_Decode({buf.ptr, buf.len - 1}, &back, &err), nullptr);
     SlBuf_Free(&buf);
 }
+
+// Entries of upstreams, as a store holds them.
+static std::string
+entry(int number)
+{
+    std::string id = std::to_string(10000 + number * 7919 % 80003);
+    return "{\"Service\":\"plume\",\"Address\":\"10.1." + id.substr(0, 2) +
+           "." + id.substr(2) +
+           ":8080\",\"Zone\":\"brest\",\"Version\":\"v1\",\"Slots\":64,"
+           "\"State\":\"ready\",\"ColdLeftMs\":0,\"Phase\":\"both\","
+           "\"Models\":[{\"Name\":\"m0\",\"Version\":1,\"Adapters\":[]}],"
+           "\"Sequence\":4}";
+}
+
+// A snapshot of 3,000 upstreams.
+struct Snapshot {
+    std::vector<std::string> keys, values;
+    std::vector<struct sl_page_record> records;
+    size_t bytes = 0;
+
+    Snapshot()
+    {
+        for (int i = 0; i < 3000; i++) {
+            keys.push_back("servers/i-" + std::to_string(i * 104729));
+            values.push_back(entry(i));
+        }
+        for (size_t i = 0; i < keys.size(); i++) {
+            records.push_back({i,
+                               {keys[i].data(), keys[i].size()},
+                               {values[i].data(), values[i].size()}});
+            bytes += keys[i].size() + values[i].size();
+        }
+    }
+};
+
+TEST(Page, OfManyUpstreamsIsSmall)
+{
+    Snapshot snapshot;
+    struct sl_page page = {3000, 3000, true, snapshot.records.size(),
+                           snapshot.records.data()};
+    struct sl_page back = {};
+    struct sl_buf buf = {};
+    struct sl_error err;
+    SlPage_Encode(&page, &buf);
+    EXPECT_LE(buf.len * 8, snapshot.bytes);
+    struct sl_page_reader *reader =
+        SlPage_Decode(SlBuf_Str(&buf), &back, &err);
+    ASSERT_NE(reader, nullptr) << err.text;
+    ASSERT_EQ(back.count, 3000u);
+    EXPECT_EQ(std::string(back.records[2999].value.ptr,
+                          back.records[2999].value.len),
+              snapshot.values[2999]);
+    SlPage_Free(reader);
+    SlBuf_Free(&buf);
+}
+
+// Bytes that were changed or cut give an error, or records within bounds.
+TEST(Page, RefusesWhatIsCutOrChanged)
+{
+    Snapshot snapshot;
+    struct sl_page page = {20, 20, true, 20, snapshot.records.data()};
+    struct sl_page back = {};
+    struct sl_buf buf = {};
+    struct sl_error err;
+    SlPage_Encode(&page, &buf);
+    std::string bytes(buf.ptr, buf.len);
+    SlBuf_Free(&buf);
+    for (size_t len = 0; len < bytes.size(); len++) {
+        EXPECT_EQ(SlPage_Decode({bytes.data(), len}, &back, &err), nullptr);
+    }
+    for (size_t at = 0; at < bytes.size(); at++) {
+        for (int value = 0; value < 256; value += 5) {
+            std::string changed = bytes;
+            changed[at] = (char)value;
+            struct sl_page_reader *reader =
+                SlPage_Decode({changed.data(), changed.size()}, &back, &err);
+            if (reader != nullptr) {
+                EXPECT_EQ(back.count, 20u);
+                SlPage_Free(reader);
+            }
+        }
+    }
+}
--- a/tests/unit/router_fleet_world.h
+++ b/tests/unit/router_fleet_world.h
@@ -38,6 +38,12 @@
         return true;
     };
     std::function<void(uint64_t, int)> on_reply;
+    // A router takes records from another one.
+    std::function<void(size_t, size_t)> on_pull;
+    // A router is handed all records although it has some.
+    std::function<void(size_t, size_t)> on_anew;
+    // How long a peer takes to hand its records over.
+    int64_t pull_us = 0;
     // Routers that a new one asks for the others.
     std::vector<std::string> seeds;
 
@@ -186,6 +192,7 @@
         std::string address;
         enum sl_feed feed;
         uint64_t from;
+        int64_t due_us;
     };
     struct pending_introduction {
         size_t router;
@@ -194,6 +201,7 @@
     };
     struct page {
         bool is_snapshot = false;
+        uint64_t complete_from = 0;
         uint64_t end = 0;
         std::vector<uint64_t> offsets;
     };
@@ -264,11 +272,13 @@
             break;
         case Sl_RFX_PULL:
             pulls.push_back({router, text(SlName_Str(&effect.u.pull.address)),
-                             effect.u.pull.feed, effect.u.pull.from});
+                             effect.u.pull.feed, effect.u.pull.from,
+                             now_us + pull_us});
             break;
         case Sl_RFX_PAGE:
             answered = page();
             answered.is_snapshot = effect.u.page.page.is_snapshot;
+            answered.complete_from = effect.u.page.page.complete_from;
             answered.end = effect.u.page.page.end;
             for (size_t i = 0; i < effect.u.page.page.count; i++) {
                 answered.offsets.push_back(
@@ -323,14 +333,12 @@
         std::deque<pending_digest> due;
         due.swap(digests);
         for (const pending_digest &sent : due) {
-            for (size_t i = 0; i < worlds.size(); i++) {
-                if (sent.address == name_of(i) + ":7340" &&
-                    hears(sent.router, i)) {
-                    struct sl_router_event event =
-                        worlds[i]->event_of(Sl_REV_GOSSIP);
-                    event.u.gossip = sent.digest.get();
-                    worlds[i]->reduce(event);
-                }
+            size_t to = at_address(sent.address);
+            if (to < worlds.size() && hears(sent.router, to)) {
+                struct sl_router_event event =
+                    worlds[to]->event_of(Sl_REV_GOSSIP);
+                event.u.gossip = sent.digest.get();
+                worlds[to]->reduce(event);
             }
         }
     }
@@ -339,11 +347,11 @@
     size_t
     at_address(const std::string &address) const
     {
-        size_t i = 0;
-        while (i < worlds.size() && address != name_of(i) + ":7340") {
-            i++;
+        size_t number = 0;
+        if (sscanf(address.c_str(), "e%zu:7340", &number) != 1) {
+            return worlds.size();
         }
-        return i;
+        return std::min(number - 1, worlds.size());
     }
 
     template <typename Pending>
@@ -381,7 +389,10 @@
     answer_pulls()
     {
         std::deque<pending_pull> due;
-        due.swap(pulls);
+        while (!pulls.empty() && pulls.front().due_us <= now_us) {
+            due.push_back(pulls.front());
+            pulls.pop_front();
+        }
         for (const pending_pull &pull : due) {
             size_t from = at_address(pull.address);
             World &world = *worlds[pull.router];
@@ -389,6 +400,9 @@
             struct sl_error err;
             std::vector<struct sl_record> records;
             event.u.feed.feed = pull.feed;
+            if (from < worlds.size() && on_pull) {
+                on_pull(pull.router, from);
+            }
             if (from >= worlds.size() || !hears(from, pull.router)) {
                 SlError_Set(&err, Sl_ERR_UNREACHABLE, "peer.pull", "",
                             "cannot connect");
@@ -403,7 +417,11 @@
                 for (uint64_t offset : answered.offsets) {
                     records.push_back(world.topics[pull.feed].at(offset));
                 }
+                if (answered.is_snapshot && pull.from > 0 && on_anew) {
+                    on_anew(pull.router, from);
+                }
                 event.u.feed.snapshot = answered.is_snapshot;
+                event.u.feed.complete_from = answered.complete_from;
                 event.u.feed.end = answered.end;
             }
             event.u.feed.count = records.size();
--- a/tests/unit/router_restart.cc
+++ b/tests/unit/router_restart.cc
@@ -148,6 +148,155 @@
     EXPECT_EQ(ask_all("a").size(), 30u);
 }
 
+// The store is asked by few, the others of a domain take what its head has,
+// and no router hands it to all others.
+TEST_F(Restart, OfAllRoutersSpreadsTheLoad)
+{
+    begin(45);
+    std::map<size_t, int> served; // pulls by source
+    int across = 0;
+    fleet.on_pull = [&](size_t to, size_t from) {
+        served[from]++;
+        across += to % 3 != from % 3 ? 1 : 0;
+    };
+    for (size_t i = 0; i < fleet.size(); i++) {
+        fleet.world(i).reads_asked = 0;
+    }
+    restart_all();
+    fleet.pass(500);
+    size_t askers = 0;
+    for (size_t i = 0; i < fleet.size(); i++) {
+        askers += fleet.world(i).reads_asked > 0 ? 1 : 0;
+    }
+    EXPECT_LE(askers, 6u);
+    EXPECT_LE(across, 3 * 4); // three feeds, of which one is empty
+    for (const auto &source : served) {
+        EXPECT_LE(source.second, 4 * 3 + 3) << source.first;
+    }
+    EXPECT_EQ(ask_all("a").size(), 45u);
+}
+
+// A fleet of hundreds: what one has is told to those that take it from there
+// at once, or they would go to the head of the domain all together.
+TEST_F(Restart, OfHundredsOfRoutersSpreadsTheLoad)
+{
+    const size_t routers = 240;
+    begin(routers);
+    std::map<size_t, int> served; // pulls by source
+    fleet.on_pull = [&](size_t, size_t from) { served[from]++; };
+    fleet.pull_us = 150 * Sl_US_PER_MS;
+    restart_all();
+    fleet.pass(1500);
+    for (const auto &source : served) {
+        EXPECT_LE(source.second, 4 * 3 + 3) << source.first;
+    }
+    EXPECT_EQ(ask_all("a").size(), routers);
+}
+
+// Entries change all the time while all routers start: who has the records is
+// handed what is new, and not all of them again.
+TEST_F(Restart, OfAllRoutersHandsTheRecordsOnce)
+{
+    const size_t routers = 60;
+    begin(routers);
+    std::vector<bool> is_up(routers, false);
+    size_t again = 0;
+    fleet.hears = [&](size_t from, size_t to) {
+        return is_up[from] && is_up[to];
+    };
+    fleet.on_anew = [&](size_t to, size_t) { again += is_up[to] ? 1 : 0; };
+    fleet.pull_us = 40 * Sl_US_PER_MS;
+    restart_all();
+    for (size_t turn = 0; turn < 3 * routers; turn++) {
+        if (turn < routers) {
+            is_up[turn] = true;
+            fleet.restart(turn);
+        }
+        std::string id = "x" + std::to_string(turn % 20);
+        fleet.append(Sl_FEED_UPSTREAMS, id,
+                     upstream_record(id.c_str(), "plain", "v1", 64));
+        fleet.pass(10);
+    }
+    EXPECT_LE(again, routers / 10);
+    EXPECT_GE(ask_all("a").size(), routers);
+}
+
+// All routers start again within a second, the seeds last: who greeted them
+// in vain still finds the others, and few ask the store for everything.
+TEST_F(Restart, OfAllRoutersWithTheSeedsLast)
+{
+    const size_t routers = 90;
+    begin(routers);
+    std::vector<bool> is_up(routers, false);
+    fleet.hears = [&](size_t from, size_t to) {
+        return is_up[from] && is_up[to];
+    };
+    restart_all();
+    for (size_t i = routers; i-- > 0;) {
+        is_up[i] = true;
+        fleet.restart(i);
+        fleet.world(i).snapshots_asked = 0;
+        fleet.pass(10);
+    }
+    fleet.pass(1100);
+    size_t askers = 0;
+    for (size_t i = 0; i < routers; i++) {
+        askers += fleet.world(i).snapshots_asked > 0 ? 1 : 0;
+    }
+    EXPECT_LE(askers, 9u);
+    EXPECT_EQ(ask_all("a").size(), routers);
+}
+
+// The seeds are gone for good: a router finds the others by their entries.
+TEST_F(Restart, WithoutAnySeedFindsTheOthers)
+{
+    begin(12);
+    fleet.pass(10); // the others' next beat comes later
+    fleet.hears = [](size_t from, size_t to) { return from > 2 && to > 2; };
+    fleet.world(7).snapshots_asked = 0;
+    fleet.restart(7);
+    fleet.pass(1000);
+    EXPECT_EQ(fleet.world(7).snapshots_asked, 0u);
+    size_t before = calls.size();
+    fleet.ask(7, "/s/x", "", 1000, "m", 0, "a");
+    fleet.pass(100);
+    EXPECT_EQ(calls.size(), before + 1);
+}
+
+// A failure domain that restarts takes its records from the others once.
+TEST_F(Restart, OfADomainTakesLittleFromOthers)
+{
+    begin(45);
+    int across = 0;
+    fleet.on_pull = [&](size_t to, size_t from) {
+        across += to % 3 != from % 3 ? 1 : 0;
+    };
+    for (size_t i = 1; i < fleet.size(); i += 3) {
+        fleet.world(i).reads_asked = 0;
+        fleet.restart(i);
+    }
+    fleet.pass(500);
+    EXPECT_LE(across, 4);
+    EXPECT_EQ(ask_all("a").size(), 45u);
+}
+
+// The readers are turned away: the others ask the store themselves, in time.
+TEST_F(Restart, WaitsForReadersInVainButNotForLong)
+{
+    begin(12);
+    for (size_t i = 0; i < fleet.size(); i++) {
+        fleet.world(i).reads_asked = 0;
+    }
+    restart_all();
+    fleet.pass(500);
+    for (size_t i = 0; i < fleet.size(); i++) {
+        fleet.world(i).store_up = fleet.world(i).reads_asked == 0;
+    }
+    restart_all();
+    fleet.pass(2500);
+    EXPECT_EQ(ask_all("a").size(), 12u);
+}
+
 // What was taken away before: a key, an upstream whose entry went, one that
 // said in an answer that it leaves while the store still lists it.
 TEST_F(Restart, NothingTakenAwayComesBack)
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -501,6 +501,7 @@
         event.u.feed.feed = feed;
         event.u.feed.snapshot = m.flag("snapshot");
         event.u.feed.end = world.topics[feed].end();
+        event.u.feed.complete_from = event.u.feed.end;
         event.u.feed.count = records.size();
         event.u.feed.records = records.data();
         world.reduce(event);
--- a/tests/unit/router_world.h
+++ b/tests/unit/router_world.h
@@ -135,7 +135,9 @@
     int64_t store_answer_us = 0; // how long the store takes for an answer
     bool store_misses = false;   // reads that wait are not told of news
     Topic topics[Sl_FEED_COUNT];
-    unsigned reads_asked = 0;   // of the store
+    unsigned reads_asked = 0; // of the store
+    // Those of whole feeds, but for the small one of members.
+    unsigned snapshots_asked = 0;
     std::set<std::string> dark; // upstreams that cannot be connected to
     size_t max_kept_bytes = 0;
     std::vector<std::string> seeds; // VMs
@@ -331,6 +333,9 @@
             pending.due_us = now_us + effect.u.read.wait_us;
             pending.misses = false;
             reads_asked++;
+            snapshots_asked +=
+                pending.snapshot && effect.u.read.feed != Sl_FEED_MEMBERS ? 1
+                                                                          : 0;
             return true;
         }
         if (effect.type == Sl_RFX_READ_CANCEL) {
