Session pins: what was chosen alone gives way to either home

An entry that could ask no home while vers-1 was withdrawn chose vers-2 for a session, and ran nothing. vers-1 came back, another entry went on with it; then the first home was away, the second said vers-1, and the first entry kept its own choice, because a version in its cache gave way to the first home only. Ruled out: the second home goes before any cached version while the first is away: homes that disagree would move a session each time the first one comes and goes. Test: scripts entry_pins_alone: vers-2 before, vers-1 now; a confirmed pin stays.

--- a/lib/core/sl_pins.c
+++ b/lib/core/sl_pins.c
@@ -28,6 +28,7 @@
     uint64_t offset;     /* of the configuration when it was cached */
     uint64_t offered_to; /* the homes' starts; see hash_homes(). 0: some home
                             did not answer */
+    bool is_confirmed;   /* by a home; else it was chosen here alone */
     GList *link;         /* in `order` */
 };
 
@@ -35,7 +36,7 @@
 struct sl_lookup {
     struct sl_pin_key key;
     bool putting;
-    bool cached;          /* the offer was in use here */
+    bool is_confirmed;    /* the offer is what a home held before */
     bool timed_out;       /* some home has not answered what was put */
     struct sl_name offer; /* what is put */
     uint64_t timer;
@@ -107,7 +108,7 @@
 
 static void
 cache_pin(struct sl_core *core, const struct sl_lookup *lookup,
-          const struct sl_name *version)
+          const struct sl_name *version, bool is_confirmed)
 {
     struct sl_pins *pins = core->entry->pins;
     const struct sl_pin_key *key = &lookup->key;
@@ -121,6 +122,8 @@
         pin->link = pins->order->tail;
         g_hash_table_insert(pins->cache, &pin->key, pin);
     }
+    pin->is_confirmed = is_confirmed || (pin->is_confirmed &&
+                                         SlName_Equal(&pin->version, version));
     pin->version = *version;
     pin->offset = SlConfig_Offset(core->config);
     pin->offered_us = core->now_us;
@@ -184,11 +187,11 @@
 
 static void
 finish_lookup(struct sl_core *core, struct sl_lookup *lookup,
-              const struct sl_name *version)
+              const struct sl_name *version, bool is_confirmed)
 {
     struct sl_name chosen = *version;
     SlTimers_Cancel(core->timers, lookup->timer);
-    cache_pin(core, lookup, &chosen);
+    cache_pin(core, lookup, &chosen, is_confirmed);
     g_hash_table_steal(core->entry->pins->lookups, &lookup->key);
     for (guint i = 0; i < lookup->waiting->len; i++) {
         struct sl_request *request =
@@ -212,12 +215,12 @@
 }
 
 /* The version in force among the answers: the first home's goes first. A
- * cached version gives way to that one only, so that homes which disagree do
- * not move a session to and fro. */
+ * version that a home has confirmed gives way to that one only, so that homes
+ * which disagree do not move a session to and fro. */
 static const struct sl_name *
 held_version(const struct sl_core *core, const struct sl_lookup *lookup)
 {
-    size_t count = lookup->cached ? 1 : Sl_PIN_HOMES;
+    size_t count = lookup->is_confirmed ? 1 : Sl_PIN_HOMES;
     for (size_t i = 0; i < count; i++) {
         if (!SlName_IsEmpty(&lookup->answers[i]) &&
             still_serves(core, &lookup->answers[i])) {
@@ -268,7 +271,8 @@
         return;
     }
     if (lookup->putting) {
-        finish_lookup(core, lookup, held != NULL ? held : &lookup->offer);
+        finish_lookup(core, lookup, held != NULL ? held : &lookup->offer,
+                      held != NULL);
         return;
     }
     lookup->putting = true;
@@ -276,13 +280,13 @@
     bool agreed =
         held != NULL && SlName_Equal(&lookup->answers[0], &lookup->answers[1]);
     if (agreed) {
-        finish_lookup(core, lookup, &lookup->offer);
+        finish_lookup(core, lookup, &lookup->offer, true);
         return;
     }
     /* None is held, or one home lacks it: put it at both. */
     send_to_homes(core, lookup, Sl_MSG_PIN_PUT, &lookup->offer);
     if (all_answered(lookup)) {
-        finish_lookup(core, lookup, &lookup->offer);
+        finish_lookup(core, lookup, &lookup->offer, held != NULL);
     }
 }
 
@@ -317,7 +321,7 @@
 /* Asks the homes, or puts `offer` at them when there is one. */
 static struct sl_lookup *
 start_lookup(struct sl_core *core, const struct sl_pin_key *key,
-             const struct sl_name *offer)
+             const struct sl_pin *offer)
 {
     struct sl_pins *pins = core->entry->pins;
     struct sl_lookup *lookup = g_new0(struct sl_lookup, 1);
@@ -329,11 +333,12 @@
     g_hash_table_insert(pins->lookups, &lookup->key, lookup);
     if (offer != NULL) {
         lookup->putting = true;
-        lookup->cached = true;
-        lookup->offer = *offer;
+        lookup->is_confirmed = offer->is_confirmed;
+        lookup->offer = offer->version;
     }
     send_to_homes(core, lookup,
-                  offer != NULL ? Sl_MSG_PIN_PUT : Sl_MSG_PIN_ASK, offer);
+                  offer != NULL ? Sl_MSG_PIN_PUT : Sl_MSG_PIN_ASK,
+                  offer != NULL ? &offer->version : NULL);
     return lookup;
 }
 
@@ -391,7 +396,7 @@
     struct sl_pins *pins = core->entry->pins;
     struct sl_pin_key key = {request->facets.team, request->facets.session,
                              request->service};
-    const struct sl_name *offer = NULL;
+    const struct sl_pin *offer = NULL;
     struct sl_pin *pin = g_hash_table_lookup(pins->cache, &key);
     if (pin != NULL && still_serves(core, &pin->version) &&
         SlFollow_WithdrawnAt(core, &pin->version) <= pin->offset) {
@@ -399,7 +404,7 @@
             bind(core, request, &pin->version);
             return;
         }
-        offer = &pin->version;
+        offer = pin;
     }
     request->state = Sl_REQUEST_PINNING;
     struct sl_lookup *lookup = g_hash_table_lookup(pins->lookups, &key);
