Tests: connections with unsent bytes are freed before the event base

Ruled out: a leak of the server: with the loop run once, nothing is left. Change: the loop runs once before the base is freed.

--- a/tests/unit/net_endless.cc
+++ b/tests/unit/net_endless.cc
@@ -38,6 +38,8 @@
 
     ~Endless() override
     {
+        // libevent frees a connection with unsent bytes in its loop.
+        event_base_loop(base, EVLOOP_NONBLOCK);
         event_base_free(base);
     }
 };
