--- a/lib/router/sl_first.c
+++ b/lib/router/sl_first.c
@@ -1,7 +1,7 @@
 /*
  * From whom a router that starts has its first records. Answers restarts of
  * one router, of a failure domain and of all at once, with snapshots that
- * take a link of a small VM half a second: the store is asked by few, few
+ * take a link of a small VM a while: the store is asked by few, few
  * bytes pass between domains, and no router hands its snapshot to all others.
  *
  * A router takes the snapshot from its own domain. There routers are in the
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -9,6 +9,7 @@
  * sl_kept.c       the newest records, for peers
  * sl_early.c      requests that come before a configuration
  * sl_digests.c    telling the other routers, and hearing from them
+ * sl_tree.c       who hands news on in a large failure domain
  * sl_relay.c      who is told in other failure domains, and handing it on
  * sl_repeats.c    the fleet's budget of repeats
  * sl_models.c     which model answers
