router: log prompt parts and the ends of engines

Cause: logs could not tell whether ends of engines come from repeats, from new requests with content in common, or from overload: no line named a prompt's parts, and none told the end of an engine from a connection that broke. Change: parts in the request line, begun in attempt_failed, upstream_ended and sassafrasledge_engines_ended_total. A call that breaks at an engine leads to a health check; no decision depends on the result yet, but that an engine which fails it counts as unreachable sooner.

--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -57,6 +57,20 @@
     call->progress_us = router->now_us;
 }
 
+/* Time after its head for which a response must go on to count as begun. */
+#define Sl_BEGUN_AFTER_US (250 * Sl_US_PER_MS)
+
+/* Records that the prompt does not end its engine, once the response has gone
+ * on for long enough. */
+static void
+note_begun(struct sl_router *router, struct sl_upstream_call *call)
+{
+    if (!call->has_begun && is_success(&call->head) &&
+        router->now_us - call->head_us >= Sl_BEGUN_AFTER_US) {
+        call->has_begun = true;
+    }
+}
+
 /* A response is slow, which counts against its version, if its head takes
  * longer than SLOW_FACTOR times the usual time plus SLOW_EXTRA. The latter is
  * for short times, which vary by more than the factor. */
@@ -189,6 +203,7 @@
     }
     struct sl_upstream_call *call = &request->upstream_call;
     call->has_head = true;
+    call->head_us = router->now_us;
     request->reached_upstream = true;
     note_bytes(router, call);
     note_progress(router, call);
@@ -221,6 +236,7 @@
     size_t offset = 0;
     while (SlEventSplitter_Next(&call->events, &offset, &event, &id)) {
         note_progress(router, call);
+        note_begun(router, call);
         if (call->has_event) {
             call->upstream->later_event_us = router->now_us;
         }
@@ -326,6 +342,7 @@
     }
     else {
         note_progress(router, call);
+        note_begun(router, call);
         SlBuf_Append(&call->body, bytes);
     }
     update_buffered(router, call);
@@ -384,6 +401,7 @@
     SlLogLine_Int(router, "after_ms",
                   (router->now_us - request->upstream_call.sent_us) /
                       Sl_US_PER_MS);
+    SlLogLine_Int(router, "begun", request->upstream_call.has_begun);
     SlLogLine_Int(router, "last_event", request->last_event);
     SlLogLine_End(router, Sl_LOG_INFO);
 }
@@ -400,6 +418,9 @@
                                  connected ? "broken" : "unreachable");
     request->reached_upstream = request->reached_upstream || connected;
     SlUpstreams_OnFailure(router, upstream);
+    if (connected) {
+        SlEngineEnds_OnCallBroken(router, request);
+    }
     SlRoutedRequest_MarkTried(request, upstream);
     SlUpstreamCall_Detach(router, request);
     SlRoutedRequest_RetryOrFail(router, request, connected, "upstream.call",
--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -366,6 +366,22 @@
     return router->now_us + time_left_us;
 }
 
+/* Adds the ids of the prompt's parts to the current log line. */
+static void
+add_prompt_parts(struct sl_router *router,
+                 const struct sl_incoming_request *incoming)
+{
+    struct sl_buf ids = {0};
+    for (size_t i = 0; i < incoming->part_count; i++) {
+        SlBuf_Printf(&ids, "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                     incoming->parts[i].id);
+    }
+    if (incoming->part_count > 0) {
+        SlLogLine_Str(router, "parts", SlBuf_Str(&ids));
+    }
+    SlBuf_Free(&ids);
+}
+
 static void
 log_arrival(struct sl_router *router, const struct sl_routed_request *request)
 {
@@ -383,6 +399,7 @@
     SlLogLine_Int(router, "deadline_ms",
                   (request->deadline_us - router->now_us) / Sl_US_PER_MS);
     SlLogLine_Int(router, "prompt_tokens", request->incoming.prompt_tokens);
+    add_prompt_parts(router, &request->incoming);
     SlLogLine_Int(router, "last_event", request->incoming.last_event);
     SlLogLine_End(router, Sl_LOG_INFO);
 }
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -62,6 +62,8 @@
     router->stall_check_due_us = Sl_NEVER_US;
     router->health_checks =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    router->broken_calls =
+        g_array_new(FALSE, FALSE, sizeof(struct sl_broken_call));
     router->deferred_frees = g_ptr_array_new_with_free_func(free_request);
     return router;
 }
@@ -86,6 +88,7 @@
     g_hash_table_destroy(router->latency_estimates);
     g_hash_table_destroy(router->upstreams_by_key);
     g_hash_table_destroy(router->health_checks);
+    g_array_free(router->broken_calls, TRUE);
     g_hash_table_destroy(router->requests_by_token);
     g_hash_table_destroy(router->routed_requests);
     g_ptr_array_free(router->deferred_frees, TRUE);
@@ -276,6 +279,7 @@
     dispatch(router, event);
     SlUpstreams_Expire(router);
     SlStartupQueue_Release(router);
+    SlEngineEnds_Update(router);
     if (router->capacity_changed && router->request_queue->length > 0) {
         SlRequestQueue_Dispatch(router);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -16,6 +16,7 @@
  * sl_responses.c         handles the responses of upstreams
  * sl_stall_monitor.c     checks calls for progress; health checks
  * sl_stall_policy.c      decides whether to give up a stalled call
+ * sl_engine_ends.c       finds out which engines have ended
  * sl_routed_request.c    a request from its arrival to its end
  * sl_request_queue.c     requests that wait for an upstream
  * sl_upstream_call.c     sends requests to upstreams
@@ -323,6 +324,10 @@
     bool at_baseline; /* at a version that a roll-out replaces */
     bool has_head;    /* its response has begun */
     bool has_event;   /* its response, a stream, has sent an event */
+    int64_t head_us;  /* when its response began */
+    /* Its response has gone on for a while after its head, or is complete: the
+     * prompt does not end its engine. */
+    bool has_begun;
     struct sl_response_head head;
     struct sl_buf headers; /* of `head`, to forward */
     struct sl_buf body;    /* of a response that is not forwarded as it
@@ -333,6 +338,16 @@
     size_t buffered_bytes;  /* its part of the router's `buffered_bytes` */
 };
 
+/* A call that broke at an engine, which may have ended. */
+struct sl_broken_call {
+    struct sl_name upstream;
+    struct sl_name service;
+    int64_t broken_us;
+    bool has_begun;        /* `has_begun` of the call */
+    bool is_upstream_gone; /* the upstream was found unreachable, replaced or
+                              restarted since */
+};
+
 /* A client's request, from its arrival to its end. */
 struct sl_routed_request {
     uint64_t conn; /* the client's connection; key in the router's table */
@@ -498,6 +513,7 @@
                               first */
     int64_t last_bytes_us; /* when any upstream or peer last sent anything */
     GHashTable *health_checks;    /* token -> id of the upstream, both owned */
+    GArray *broken_calls;         /* struct sl_broken_call, oldest first */
     int64_t stall_check_due_us;   /* next time to check a call for a stall */
     int64_t stall_check_timer_us; /* when the timer for that check is due */
     uint64_t stall_check_timer;   /* 0: none */
@@ -523,6 +539,7 @@
     Sl_ROUTER_METRIC_QUEUE,
     Sl_ROUTER_METRIC_CALLS,
     Sl_ROUTER_METRIC_CALLS_FAILED,
+    Sl_ROUTER_METRIC_ENGINES_ENDED,
     Sl_ROUTER_METRIC_LOW_CONFIDENCE,
     Sl_ROUTER_METRIC_RETRIES,
     Sl_ROUTER_METRIC_RETRIES_DENIED,
@@ -569,6 +586,9 @@
 void SlRouterMetrics_OnCallFailed(struct sl_router *router,
                                   const struct sl_routed_request *request,
                                   const char *reason);
+/* Counts the end of an engine of the service. */
+void SlRouterMetrics_OnEngineEnded(struct sl_router *router,
+                                   const struct sl_name *service);
 /* Counts a response that is discarded for low confidence. */
 void SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                      const struct sl_routed_request *request);
@@ -1133,12 +1153,28 @@
 /* Schedules the first stall check of the request's call. */
 void SlStallMonitor_Watch(struct sl_router *router,
                           struct sl_routed_request *request);
+/* Begins a health check of an upstream at which a call broke, unless one is
+ * under way. */
+void SlStallMonitor_CheckUpstream(struct sl_router *router,
+                                  struct sl_router_upstream *upstream);
 /* Handles the end of a health check; `is_reached` is false if it failed. */
 void SlStallMonitor_OnHealthChecked(struct sl_router *router, uint64_t token,
                                     bool is_reached);
 /* Sets the timer for the next stall check that is due. */
 void SlStallMonitor_ArmTimer(struct sl_router *router);
 
+/* ---- ends of engines ---- */
+
+/* Handles that the connection of the request's call broke. */
+void SlEngineEnds_OnCallBroken(struct sl_router *router,
+                               const struct sl_routed_request *request);
+/* Handles that the upstream was found unreachable, replaced by another one, or
+ * restarted. */
+void SlEngineEnds_OnGone(struct sl_router *router,
+                         const struct sl_router_upstream *upstream);
+/* Handles the ends of engines that are certain by now. */
+void SlEngineEnds_Update(struct sl_router *router);
+
 /* ---- responses ---- */
 
 /* Handle the head of a response, bytes of its body, and its end. `token` is of
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -58,6 +58,12 @@
          "replaced, silent, too_large, error.",
          {"service", "reason"},
          NULL},
+    [Sl_ROUTER_METRIC_ENGINES_ENDED] =
+        {"sassafrasledge_engines_ended_total",
+         Sl_METRIC_COUNTER,
+         "Engines that ended while this router had calls there.",
+         {"service"},
+         NULL},
     [Sl_ROUTER_METRIC_LOW_CONFIDENCE] =
         {"sassafrasledge_answers_doubted_total",
          Sl_METRIC_COUNTER,
@@ -232,6 +238,14 @@
                   &request->service->name, &reason_label, 1);
 }
 
+void
+SlRouterMetrics_OnEngineEnded(struct sl_router *router,
+                              const struct sl_name *service)
+{
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_ENGINES_ENDED, service,
+                  NULL, 1);
+}
+
 void
 SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                 const struct sl_routed_request *request)
--- a/lib/router/sl_stall_monitor.c
+++ b/lib/router/sl_stall_monitor.c
@@ -41,6 +41,17 @@
     effect->u.health_check.timeout_us = Sl_CHECK_TIMEOUT_US;
 }
 
+void
+SlStallMonitor_CheckUpstream(struct sl_router *router,
+                             struct sl_router_upstream *upstream)
+{
+    if (upstream->health_check.token == 0 &&
+        !SlUpstreamNotices_IsBackingOff(router, upstream)) {
+        upstream->health_check.failed_count = 0;
+        begin_check(router, upstream);
+    }
+}
+
 /* Returns true if the upstream has sent bytes on any call since `since_us`. */
 static bool
 has_sent_since(const struct sl_router_upstream *upstream, int64_t since_us)
@@ -92,6 +103,7 @@
         return;
     }
     check->failed_count = 0;
+    SlEngineEnds_OnGone(router, upstream);
     if (is_any_heard) {
         set_unreachable(router, upstream);
     }
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -106,6 +106,7 @@
     upstream->restarted_us = router->now_us;
     upstream->failures = 0;
     upstream->ejected_until_us = 0;
+    SlEngineEnds_OnGone(router, upstream);
     SlUpstreamNotices_OnUpstreamStart(router, upstream);
 }
 
@@ -496,6 +497,7 @@
     upstream->is_replaced = true;
     upstream->local_fault_us = router->now_us;
     router->loads_changed = true;
+    SlEngineEnds_OnGone(router, upstream);
     log_upstream(router, upstream, "upstream_replaced");
 }
 
