--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -3,6 +3,8 @@
 #ifndef SL_ROUTER_FLEET_H
 #define SL_ROUTER_FLEET_H
 
+#include <gtest/gtest.h>
+
 #include <deque>
 
 #include "router_simulation.h"
@@ -15,6 +17,7 @@
     std::string upstream;
     std::string model;
     int64_t at_us;
+    std::vector<uint64_t> parts; // ids of the prompt's parts
 };
 
 // How the upstream responds to a call.
@@ -24,6 +27,8 @@
     int confidence = -1;
     bool resets_connection = false; // instead of a response
     bool leaves = false;            // the response says that it leaves
+    int64_t run_us = 0;             // from the head to the end
+    bool ends_upstream = false;     // at the end of the run, without an answer
 };
 
 class Fleet {
@@ -42,6 +47,10 @@
     std::function<void(size_t, size_t)> on_pull;
     // The first router gets all records from the second although it has some.
     std::function<void(size_t, size_t)> on_full_transfer;
+    // Called with the id of an upstream whose process has ended.
+    std::function<void(const std::string &)> on_upstream_end;
+    // Digests are encoded and decoded, which leaves out what does not fit.
+    bool encodes_digests = false;
     // Time that a peer needs to transfer a snapshot; it serves one router
     // after the other.
     int64_t snapshot_transfer_us = 0;
@@ -132,6 +141,23 @@
                  const std::string &session, int64_t deadline_ms,
                  const std::string &model = "m", int64_t prompt_tokens = 0,
                  const std::string &key = "")
+    {
+        std::vector<uint64_t> parts;
+        if (prompt_tokens > 0) {
+            parts.push_back(last_conn + 1);
+        }
+        send_prompt(router, path, session, deadline_ms, parts, model,
+                    prompt_tokens, key);
+    }
+
+    // Sends a client's request whose prompt consists of the parts, with
+    // `part_tokens` each. Returns its connection id.
+    uint64_t
+    send_prompt(size_t router, const std::string &path,
+                const std::string &session, int64_t deadline_ms,
+                const std::vector<uint64_t> &parts,
+                const std::string &model = "m", int64_t part_tokens = 100,
+                const std::string &key = "")
     {
         std::string id = "r" + std::to_string(++last_conn);
         struct sl_router_event event =
@@ -147,10 +173,42 @@
         request.api_key = view(key);
         request.deadline_us = deadline_ms * Sl_US_PER_MS;
         request.last_event = -1;
-        request.prompt_tokens = prompt_tokens;
-        request.part_count = prompt_tokens > 0 ? 1 : 0;
-        request.parts[0] = {last_conn, prompt_tokens};
+        for (uint64_t part : parts) {
+            request.parts[request.part_count++] = {part, part_tokens};
+            request.prompt_tokens += part_tokens;
+        }
+        prompts[id] = parts;
         routers[router]->reduce(event);
+        return request.conn;
+    }
+
+    // Ends the upstream's process: its calls break, and nothing connects.
+    void
+    end_upstream(const std::string &upstream)
+    {
+        std::vector<FleetCall> broken;
+        std::set<uint64_t> seen; // calls have several pending events
+        for (auto at = responses.begin(); at != responses.end();) {
+            const FleetCall &call = at->second.call;
+            if (call.upstream != upstream) {
+                ++at;
+                continue;
+            }
+            if (seen.insert(call.token << 10 | call.router).second) {
+                broken.push_back(call);
+            }
+            at = responses.erase(at);
+        }
+        ended.insert(upstream);
+        for (auto &router : routers) {
+            router->refusing.insert(upstream);
+        }
+        if (on_upstream_end) {
+            on_upstream_end(upstream);
+        }
+        for (const FleetCall &call : broken) {
+            finish_call(call, Sl_ERR_LOST, true);
+        }
     }
 
     void
@@ -207,10 +265,18 @@
         uint64_t end = 0;
         std::vector<uint64_t> offsets;
     };
+    enum response_stage {
+        HEAD,
+        PROGRESS,
+        END
+    };
     struct pending_response {
         FleetCall call;
         FleetResponse response;
+        response_stage stage;
     };
+    // Time from a head to further bytes of a response that takes longer.
+    static const int64_t progress_us = 300 * Sl_US_PER_MS;
     const char *const domains[3] = {"brest", "quimper", "vannes"};
     int64_t now_us = 1000 * Sl_US_PER_S;
     uint64_t last_conn = 0;
@@ -221,7 +287,9 @@
     std::map<std::string, int64_t> link_free_us; // by address of the sender
     std::deque<pending_peer_list> peer_lists;
     page last_page; // that a router has sent
-    std::multimap<int64_t, pending_response> responses; // by time
+    std::multimap<int64_t, pending_response> responses;   // by time
+    std::map<std::string, std::vector<uint64_t>> prompts; // by request id
+    std::set<std::string> ended; // upstreams whose process has ended
 
     static std::string
     name_of(size_t router)
@@ -240,18 +308,20 @@
                               text(call.request_id),
                               text(SlName_Str(&call.upstream)),
                               text(call.model),
-                              now_us};
+                              now_us,
+                              prompts[text(call.request_id)]};
             FleetResponse response = on_call(made);
-            responses.insert({now_us + response.after_us, {made, response}});
+            responses.insert(
+                {now_us +
+                     (ended.count(made.upstream) > 0 ? 0 : response.after_us),
+                 {made, response, HEAD}});
             break;
         }
         case Sl_ROUTER_EFFECT_CANCEL_CALL:
-            for (auto at = responses.begin(); at != responses.end(); ++at) {
-                if (at->second.call.router == router &&
-                    at->second.call.token == effect.u.token) {
-                    responses.erase(at);
-                    break;
-                }
+            for (auto at = responses.begin(); at != responses.end();) {
+                bool is_cancelled = at->second.call.router == router &&
+                                    at->second.call.token == effect.u.token;
+                at = is_cancelled ? responses.erase(at) : std::next(at);
             }
             break;
         case Sl_ROUTER_EFFECT_REPLY:
@@ -346,12 +416,27 @@
         }
     }
 
+    // Encodes and decodes the digest, as a datagram does.
+    static void
+    pass_through_datagram(struct sl_gossip_digest *digest)
+    {
+        struct sl_buf bytes = {};
+        struct sl_error err;
+        SlGossip_Encode(digest, &bytes);
+        EXPECT_LE(bytes.len, (size_t)Sl_GOSSIP_MAX_BYTES);
+        EXPECT_EQ(SlGossip_Decode(SlBuf_Str(&bytes), digest, &err), Sl_OK);
+        SlBuf_Free(&bytes);
+    }
+
     void
     deliver_digests()
     {
         std::deque<pending_digest> due;
         due.swap(digests);
         for (const pending_digest &sent : due) {
+            if (encodes_digests) {
+                pass_through_datagram(sent.digest.get());
+            }
             size_t to = at_address(sent.address);
             if (to < routers.size() && is_delivered(sent.router, to)) {
                 struct sl_router_event event =
@@ -451,37 +536,90 @@
         }
     }
 
+    // Reports the end of a call to its router; `code` is Sl_OK if the response
+    // is complete.
+    void
+    finish_call(const FleetCall &call, enum sl_errno code, bool connected)
+    {
+        RouterSimulation &router = *routers[call.router];
+        struct sl_error err;
+        struct sl_router_event event =
+            router.make_event(Sl_ROUTER_EVENT_RESPONSE_DONE);
+        event.u.response.token = call.token;
+        event.u.response.connected = connected;
+        if (code != Sl_OK) {
+            SlError_Set(&err, code, "upstream.read", "u", "connection reset");
+            event.err = &err;
+        }
+        router.reduce(event);
+    }
+
+    // Sends the head, and schedules what follows.
+    void
+    send_head(const pending_response &due)
+    {
+        const FleetResponse &response = due.response;
+        RouterSimulation &router = *routers[due.call.router];
+        struct sl_response_head head = {};
+        head.status = response.status;
+        head.is_stamped = true;
+        head.confidence = response.confidence;
+        head.is_leaving = response.leaves;
+        head.cold_us = -1;
+        struct sl_router_event event =
+            router.make_event(Sl_ROUTER_EVENT_RESPONSE_HEAD);
+        event.u.response.token = due.call.token;
+        event.u.response.head = &head;
+        if (response.run_us > 0) {
+            responses.insert(
+                {now_us + response.run_us, {due.call, response, END}});
+        }
+        if (response.run_us > progress_us) {
+            responses.insert(
+                {now_us + progress_us, {due.call, response, PROGRESS}});
+        }
+        router.reduce(event);
+        if (response.run_us == 0) {
+            finish_call(due.call, Sl_OK, true);
+        }
+    }
+
+    void
+    send_progress(const FleetCall &call)
+    {
+        RouterSimulation &router = *routers[call.router];
+        struct sl_router_event event =
+            router.make_event(Sl_ROUTER_EVENT_RESPONSE_CHUNK);
+        event.u.response.token = call.token;
+        event.u.response.bytes = Sl_STR("x");
+        router.reduce(event);
+    }
+
     void
     respond_to_calls()
     {
         while (!responses.empty() && responses.begin()->first <= now_us) {
             pending_response due = responses.begin()->second;
             responses.erase(responses.begin());
-            RouterSimulation &router = *routers[due.call.router];
-            struct sl_error err;
-            if (!due.response.resets_connection) {
-                struct sl_response_head head = {};
-                head.status = due.response.status;
-                head.is_stamped = true;
-                head.confidence = due.response.confidence;
-                head.is_leaving = due.response.leaves;
-                head.cold_us = -1;
-                struct sl_router_event event =
-                    router.make_event(Sl_ROUTER_EVENT_RESPONSE_HEAD);
-                event.u.response.token = due.call.token;
-                event.u.response.head = &head;
-                router.reduce(event);
+            if (ended.count(due.call.upstream) > 0) {
+                finish_call(due.call, Sl_ERR_UNREACHABLE, false);
+            }
+            else if (due.response.resets_connection) {
+                finish_call(due.call, Sl_ERR_LOST, true);
+            }
+            else if (due.stage == HEAD) {
+                send_head(due);
             }
-            struct sl_router_event done =
-                router.make_event(Sl_ROUTER_EVENT_RESPONSE_DONE);
-            done.u.response.token = due.call.token;
-            done.u.response.connected = true;
-            if (due.response.resets_connection) {
-                SlError_Set(&err, Sl_ERR_LOST, "upstream.read", "u",
-                            "connection reset");
-                done.err = &err;
+            else if (due.stage == PROGRESS) {
+                send_progress(due.call);
+            }
+            else if (due.response.ends_upstream) {
+                responses.insert({now_us, due}); // breaks with the others
+                end_upstream(due.call.upstream);
+            }
+            else {
+                finish_call(due.call, Sl_OK, true);
             }
-            router.reduce(done);
         }
     }
 };
--- a/tests/unit/router_simulation.h
+++ b/tests/unit/router_simulation.h
@@ -139,6 +139,7 @@
     // Reads of whole feeds, without the small feed of members.
     unsigned snapshot_reads_started = 0;
     std::set<std::string> unreachable; // upstreams that fail health checks
+    std::set<std::string> refusing;    // those that fail them at once
     size_t max_buffered_bytes = 0;     // option of the router
     std::vector<std::string> seeds;    // VMs that the router contacts first
     bool is_first_start = false;       // option of the router
@@ -291,10 +292,11 @@
     void
     add_check(const struct sl_router_effect &effect)
     {
-        bool is_reached =
-            unreachable.count(effect.u.health_check.upstream.text) == 0;
+        const char *upstream = effect.u.health_check.upstream.text;
+        bool is_silent = unreachable.count(upstream) > 0;
+        bool is_reached = !is_silent && refusing.count(upstream) == 0;
         int64_t delay_us =
-            is_reached ? Sl_US_PER_MS : effect.u.health_check.timeout_us;
+            is_silent ? effect.u.health_check.timeout_us : Sl_US_PER_MS;
         checks.push_back(
             {effect.u.health_check.token, is_reached, now_us + delay_us});
     }
