router: keep prompts that end engines away from them

A broken call was retried at the next engine whatever the last one did, so one request ended three engines; and nothing linked the ends of engines at several routers to what their requests had in common, so each new request did so again. Fix: calls that had not begun when an engine ends go to the quarantine; what it blocks is refused at once with 503 and Retry-After (502 if it may have run), and calls in flight with it are abandoned. Retries of calls that broke right after their head are kept apart from other calls, and wait for the check of their engine if they are suspects of an earlier end. An end counts only if the router has no other calls there that go on, and hears others: a router that is cut off, or an engine that refuses connections, proves nothing.

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -120,6 +120,8 @@
     fill_faults(router, digest);
     digest->rollout_count = 0;
     SlRollouts_AddToDigest(router, digest);
+    SlQuarantine_FillReport(router->quarantine, router->now_us,
+                            &digest->quarantine);
 }
 
 void
@@ -233,6 +235,30 @@
     send_to_recipients(router, recipients);
 }
 
+/* Sends a digest that spreads new evidence. Routers of a large failure domain
+ * pass it on along the fan-out tree; the one that has found it also tells the
+ * root, and the leaders of the other domains. */
+static void
+announce_evidence(struct sl_router *router)
+{
+    GPtrArray *recipients = g_ptr_array_new();
+    const struct sl_fleet_position *position = SlPeers_FleetPosition(router);
+    if (SlFanoutTree_IsUsed(router)) {
+        SlFanoutTree_AddChildren(router, recipients);
+        if (router->has_local_evidence) {
+            SlFanoutTree_AddLeader(router, recipients);
+        }
+    }
+    else {
+        add_domain_peers(router, recipients);
+    }
+    if (router->has_local_evidence || position->rank_in_domain == 0) {
+        add_leaders(router, recipients);
+    }
+    router->has_local_evidence = false;
+    send_to_recipients(router, recipients);
+}
+
 static void
 send_to_address(struct sl_router *router, const struct sl_name *address)
 {
@@ -391,6 +417,32 @@
     announce_updates(router);
 }
 
+static void
+on_evidence_due(void *context, uint64_t id, int64_t now_us)
+{
+    struct sl_router *router = context;
+    (void)id;
+    (void)now_us;
+    router->evidence_timer = 0;
+    announce_evidence(router);
+}
+
+void
+SlDigests_ScheduleEvidence(struct sl_router *router, bool is_local)
+{
+    /* In a small domain, the router that has found it tells all others. */
+    if (!is_local && SlPeers_FleetPosition(router)->rank_in_domain > 0 &&
+        !SlFanoutTree_IsUsed(router)) {
+        return;
+    }
+    router->has_local_evidence = router->has_local_evidence || is_local;
+    if (router->evidence_timer == 0) {
+        router->evidence_timer =
+            SlTimers_Add(router->timers, router->now_us + Sl_SEND_DELAY_US,
+                         on_evidence_due, router, 0);
+    }
+}
+
 void
 SlDigests_ScheduleUpdates(struct sl_router *router)
 {
@@ -433,6 +485,7 @@
     for (size_t i = 0; i < digest->rollout_count; i++) {
         SlRollouts_OnReport(router, &digest->vm, &digest->rollouts[i]);
     }
+    SlPromptGuard_OnReport(router, &digest->quarantine);
 }
 
 /* ---- members ---- */
--- a/lib/router/sl_dump.c
+++ b/lib/router/sl_dump.c
@@ -175,6 +175,31 @@
     g_list_free(vms);
 }
 
+static void
+dump_blocks(struct sl_router *router, struct sl_buf *out)
+{
+    size_t count;
+    const struct sl_quarantine_block *blocks =
+        SlQuarantine_Blocks(router->quarantine, &count);
+    add_key(out, "prompt_blocks");
+    SlBuf_AppendC(out, "[");
+    for (size_t i = 0; i < count; i++) {
+        struct sl_buf keys = {0};
+        SlPromptGuard_AppendKeys(&blocks[i], &keys);
+        begin_item(out);
+        add_key(out, "keys");
+        SlBuf_AppendJson(out, SlBuf_Str(&keys));
+        add_int(out, "ended_ms",
+                (router->now_us - blocks[i].last_end_us) / Sl_US_PER_MS);
+        add_int(out, "trial_in_ms",
+                (blocks[i].trial_due_us - router->now_us) / Sl_US_PER_MS);
+        add_int(out, "failed_trials", blocks[i].failed_trials);
+        SlBuf_AppendC(out, "}");
+        SlBuf_Free(&keys);
+    }
+    SlBuf_AppendC(out, "]");
+}
+
 /* ---- public ---- */
 
 void
@@ -196,5 +221,6 @@
     dump_upstreams(router, out);
     dump_rollouts(router, out);
     dump_peers(router, out);
+    dump_blocks(router, out);
     SlBuf_AppendC(out, "}");
 }
--- a/lib/router/sl_engine_ends.c
+++ b/lib/router/sl_engine_ends.c
@@ -3,9 +3,11 @@
  * broke.
  *
  * A call that breaks leads to a health check of its engine. The engine has
- * ended if it cannot be reached, if another upstream answers at its address,
- * or if it registers as a new instance. The first of these proves nothing
- * until anything else is heard: it may be this VM that is cut off.
+ * ended if the check fails, if another upstream answers at its address, or if
+ * it registers as a new instance. A check that fails proves nothing while this
+ * router has other calls there that go on: the engine may refuse further
+ * connections. Nor does it if nothing else is heard soon after: it may be this
+ * VM that is cut off.
  */
 #include "sl_router_internal.h"
 
@@ -17,8 +19,8 @@
 /* Largest difference between the times at which calls break when their engine
  * ends. A router that is busy learns of them one after the other. */
 #define Sl_END_SPREAD_US (500 * Sl_US_PER_MS)
-/* Time after an end in which further calls that break belong to it. */
-#define Sl_SAME_END_US (2 * Sl_US_PER_S)
+/* Age of a failed check after which it is repeated before it counts. */
+#define Sl_MAX_CHECK_AGE_US (250 * Sl_US_PER_MS)
 
 static struct sl_broken_call *
 broken_call_at(const struct sl_router *router, guint index)
@@ -40,7 +42,9 @@
     struct sl_broken_call broken = {
         .upstream = call->upstream->registration.id,
         .service = request->service->name,
+        .prompt = request->prompt,
         .broken_us = router->now_us,
+        .has_head = call->has_head,
         .has_begun = call->has_begun,
     };
     g_array_append_val(router->broken_calls, broken);
@@ -48,13 +52,25 @@
 }
 
 void
-SlEngineEnds_OnGone(struct sl_router *router,
-                    const struct sl_router_upstream *upstream)
+SlEngineEnds_OnUnreachable(struct sl_router *router,
+                           const struct sl_router_upstream *upstream)
 {
     for (guint i = 0; i < router->broken_calls->len; i++) {
         struct sl_broken_call *call = broken_call_at(router, i);
         if (SlName_Equal(&call->upstream, &upstream->registration.id)) {
-            call->is_upstream_gone = true;
+            call->unreachable_us = router->now_us;
+        }
+    }
+}
+
+void
+SlEngineEnds_OnReplaced(struct sl_router *router,
+                        const struct sl_router_upstream *upstream)
+{
+    for (guint i = 0; i < router->broken_calls->len; i++) {
+        struct sl_broken_call *call = broken_call_at(router, i);
+        if (SlName_Equal(&call->upstream, &upstream->registration.id)) {
+            call->is_replaced = true;
         }
     }
 }
@@ -64,9 +80,9 @@
     struct sl_name upstream;
     struct sl_name service;
     int64_t at_us;
-    int64_t begun_count;   /* calls that broke after their response had begun
-                              to go on */
-    int64_t unbegun_count; /* others that broke */
+    size_t begun_count; /* calls that broke after they had begun */
+    size_t unbegun_count;
+    struct sl_unbegun_call unbegun[Sl_MAX_BROKEN_CALLS]; /* the others */
 };
 
 /* Adds a broken call to the end if it broke at the same time. */
@@ -80,28 +96,29 @@
         end->begun_count++;
     }
     else {
-        end->unbegun_count++;
+        end->unbegun[end->unbegun_count++] =
+            (struct sl_unbegun_call){call->prompt, call->has_head};
     }
 }
 
 /* Removes the calls that broke at the same upstream as `last`, the newest of
- * them, and returns the end that they belong to. */
-static struct sl_engine_end
-take_end(struct sl_router *router, const struct sl_broken_call *last)
+ * them, and sets `end` to the end that they belong to. */
+static void
+take_end(struct sl_router *router, const struct sl_broken_call *last,
+         struct sl_engine_end *end)
 {
-    struct sl_engine_end end = {
-        .upstream = last->upstream,
-        .service = last->service,
-        .at_us = last->broken_us,
-    };
+    end->upstream = last->upstream;
+    end->service = last->service;
+    end->at_us = last->broken_us;
+    end->begun_count = 0;
+    end->unbegun_count = 0;
     for (guint i = router->broken_calls->len; i > 0; i--) {
         const struct sl_broken_call *call = broken_call_at(router, i - 1);
-        if (SlName_Equal(&call->upstream, &end.upstream)) {
-            add_to_end(&end, call);
+        if (SlName_Equal(&call->upstream, &end->upstream)) {
+            add_to_end(end, call);
             g_array_remove_index(router->broken_calls, i - 1);
         }
     }
-    return end;
 }
 
 static void
@@ -110,31 +127,88 @@
     SlLogLine_Begin(router, "upstream_ended");
     SlLogLine_Name(router, "upstream", &end->upstream);
     SlLogLine_Name(router, "service", &end->service);
-    SlLogLine_Int(router, "begun", end->begun_count);
-    SlLogLine_Int(router, "unbegun", end->unbegun_count);
+    SlLogLine_Int(router, "begun", (int64_t)end->begun_count);
+    SlLogLine_Int(router, "unbegun", (int64_t)end->unbegun_count);
     SlLogLine_Int(router, "ended_ms",
                   (router->now_us - end->at_us) / Sl_US_PER_MS);
     SlLogLine_End(router, Sl_LOG_INFO);
     SlRouterMetrics_OnEngineEnded(router, &end->service);
+    SlPromptGuard_OnEnd(router, &end->upstream, end->at_us, end->unbegun,
+                        end->unbegun_count);
+}
+
+/* Returns true if calls of this router at the upstream may still go on:
+ * connections break at once when a process ends, unless they are silent. */
+static bool
+has_other_calls(const struct sl_router *router,
+                const struct sl_router_upstream *upstream,
+                const struct sl_broken_call *call)
+{
+    return upstream != NULL && upstream->in_flight > 0 &&
+           (upstream->last_bytes_us > call->broken_us ||
+            router->now_us - call->broken_us < Sl_END_SPREAD_US);
+}
+
+/* Returns true if the call's upstream is known to have ended. */
+static bool
+is_certain(const struct sl_router *router, const struct sl_broken_call *call)
+{
+    const struct sl_router_upstream *upstream =
+        g_hash_table_lookup(router->upstreams, &call->upstream);
+    return call->is_replaced ||
+           (call->unreachable_us != 0 &&
+            router->last_bytes_us > call->unreachable_us &&
+            !has_other_calls(router, upstream, call));
+}
+
+/* Repeats the health check of an upstream that failed when nothing was heard
+ * for a while. */
+static void
+repeat_old_check(struct sl_router *router, guint index)
+{
+    struct sl_broken_call *call = broken_call_at(router, index);
+    struct sl_router_upstream *upstream =
+        g_hash_table_lookup(router->upstreams, &call->upstream);
+    if (call->unreachable_us != 0 && upstream != NULL &&
+        router->last_bytes_us > call->unreachable_us &&
+        router->now_us - call->unreachable_us > Sl_MAX_CHECK_AGE_US) {
+        call->unreachable_us = 0;
+        SlStallMonitor_CheckUpstream(router, upstream);
+    }
 }
 
 void
 SlEngineEnds_Update(struct sl_router *router)
 {
-    for (guint i = router->broken_calls->len; i > 0; i--) {
-        if (i > router->broken_calls->len) {
-            continue; /* removed with an end that was found before */
-        }
-        const struct sl_broken_call *call = broken_call_at(router, i - 1);
-        if (call->is_upstream_gone &&
-            router->last_bytes_us > call->broken_us) {
-            struct sl_broken_call last = *call;
-            struct sl_engine_end end = take_end(router, &last);
+    guint i = router->broken_calls->len;
+    while (i > 0) {
+        repeat_old_check(router, i - 1);
+        struct sl_broken_call call = *broken_call_at(router, i - 1);
+        if (is_certain(router, &call)) {
+            struct sl_engine_end end;
+            take_end(router, &call, &end);
             on_end(router, &end);
         }
-        else if (router->now_us - call->broken_us >
+        else if (router->now_us - call.broken_us >
                  Sl_BROKEN_CALL_LIFETIME_US) {
             g_array_remove_index(router->broken_calls, i - 1);
         }
+        i = MIN(i - 1, router->broken_calls->len);
+    }
+}
+
+bool
+SlEngineEnds_IsUndecided(const struct sl_router *router,
+                         const struct sl_name *upstream)
+{
+    const struct sl_router_upstream *known =
+        g_hash_table_lookup(router->upstreams, upstream);
+    for (guint i = 0; i < router->broken_calls->len; i++) {
+        const struct sl_broken_call *call = broken_call_at(router, i);
+        if (SlName_Equal(&call->upstream, upstream)) {
+            return call->unreachable_us != 0 ||
+                   (known != NULL && known->health_check.token != 0);
+        }
     }
+    return false;
 }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -27,6 +27,12 @@
 /* Largest cost of an upstream by the hash of the session. This cost spreads
  * prompts that no upstream has cached yet, in the same way at each router. */
 #define Sl_AFFINITY_COST_US (100 * Sl_US_PER_MS)
+/* Cost of each call there that may end the upstream, so that suspects are kept
+ * apart from each other and from other requests. */
+#define Sl_SUSPECT_COST_US (2 * Sl_US_PER_S)
+/* Largest cost of an upstream by the hash of a suspect, which spreads the
+ * suspects of several routers. */
+#define Sl_SUSPECT_SPREAD_US Sl_US_PER_S
 /* Cost of an upstream that the request has tried: it is the last choice. */
 #define Sl_TRIED_COST_US (60 * Sl_US_PER_S)
 /* An upstream is full with this many times as many requests as it has slots.
@@ -171,6 +177,17 @@
            (int64_t)(Sl_PREFILL_STALL_SHARE * (double)(prefill_us * load));
 }
 
+/* Returns a part of `largest_us` that depends on the hash and the upstream. */
+static int64_t
+hashed_cost_us(int64_t largest_us, uint64_t hash,
+               const struct sl_router_upstream *upstream)
+{
+    uint64_t weight =
+        SlHash_Bytes(hash, SlName_Str(&upstream->registration.id));
+    /* The hash as a fraction, 0 to 1. */
+    return (int64_t)((double)largest_us * (double)(weight >> 11) * 0x1.0p-53);
+}
+
 /* Returns the estimated time to the first event plus the other costs of the
  * upstream. */
 static int64_t
@@ -179,6 +196,10 @@
            const struct sl_router_upstream *upstream)
 {
     const struct sl_route *route = request->route;
+    if (request->is_trial) {
+        /* The upstream may end: the fewest other requests are to be there. */
+        return SlUpstreams_Load(router, upstream) * Sl_TRIED_COST_US;
+    }
     int64_t objective_us = route->target_latency_us > 0
                                ? route->target_latency_us
                                : Sl_DEFAULT_LATENCY_US;
@@ -186,7 +207,8 @@
     if (request->service->is_engine) {
         cost_us += Sl_UNCACHED_COST_US_PER_TOKEN *
                        uncached_tokens_of(request, upstream) +
-                   Sl_STREAM_COST_US * SlUpstreams_Load(router, upstream);
+                   Sl_STREAM_COST_US * SlUpstreams_Load(router, upstream) +
+                   Sl_SUSPECT_COST_US * upstream->suspect_calls;
     }
     if (!SlName_Equal(&upstream->registration.domain,
                       &router->options.domain)) {
@@ -194,11 +216,13 @@
             (int64_t)(Sl_OTHER_DOMAIN_COST_SHARE * (double)objective_us);
     }
     if (request->session != 0) {
-        uint64_t weight = SlHash_Bytes(request->session,
-                                       SlName_Str(&upstream->registration.id));
-        /* The hash as a fraction, 0 to 1. */
-        cost_us += (int64_t)((double)Sl_AFFINITY_COST_US *
-                             (double)(weight >> 11) * 0x1.0p-53);
+        cost_us +=
+            hashed_cost_us(Sl_AFFINITY_COST_US, request->session, upstream);
+    }
+    if (request->is_suspect) {
+        cost_us +=
+            hashed_cost_us(Sl_SUSPECT_SPREAD_US,
+                           SlHash_Bytes(0, request->incoming.id), upstream);
     }
     if (was_tried(request, &upstream->registration.id) ||
         upstream == request->upstream_call.upstream) {
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -181,6 +181,9 @@
     }
     for (guint i = 0; i < waiting->len; i++) {
         struct sl_routed_request *request = waiting->pdata[i];
+        if (SlPromptGuard_Decide(router, request) != Sl_PROMPT_ADMITTED) {
+            continue;
+        }
         gpointer key = (gpointer)request->service;
         size_t ahead_count =
             GPOINTER_TO_SIZE(g_hash_table_lookup(ahead_counts, key));
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -61,13 +61,18 @@
 #define Sl_BEGUN_AFTER_US (250 * Sl_US_PER_MS)
 
 /* Records that the prompt does not end its engine, once the response has gone
- * on for long enough. */
+ * on for long enough or is complete. */
 static void
-note_begun(struct sl_router *router, struct sl_upstream_call *call)
+note_begun(struct sl_router *router, struct sl_routed_request *request,
+           bool is_complete)
 {
+    struct sl_upstream_call *call = &request->upstream_call;
     if (!call->has_begun && is_success(&call->head) &&
-        router->now_us - call->head_us >= Sl_BEGUN_AFTER_US) {
+        (is_complete || router->now_us - call->head_us >= Sl_BEGUN_AFTER_US)) {
         call->has_begun = true;
+        request->is_suspect = false;
+        SlUpstreams_OnCallCleared(call->upstream, call);
+        SlPromptGuard_OnBegun(router, request);
     }
 }
 
@@ -236,7 +241,7 @@
     size_t offset = 0;
     while (SlEventSplitter_Next(&call->events, &offset, &event, &id)) {
         note_progress(router, call);
-        note_begun(router, call);
+        note_begun(router, request, false);
         if (call->has_event) {
             call->upstream->later_event_us = router->now_us;
         }
@@ -342,7 +347,7 @@
     }
     else {
         note_progress(router, call);
-        note_begun(router, call);
+        note_begun(router, request, false);
         SlBuf_Append(&call->body, bytes);
     }
     update_buffered(router, call);
@@ -420,6 +425,7 @@
     SlUpstreams_OnFailure(router, upstream);
     if (connected) {
         SlEngineEnds_OnCallBroken(router, request);
+        SlPromptGuard_OnCallBroken(router, request);
     }
     SlRoutedRequest_MarkTried(request, upstream);
     SlUpstreamCall_Detach(router, request);
@@ -467,6 +473,8 @@
         on_not_executed(router, request);
         return;
     }
+    request->is_suspect =
+        false; /* the engine has answered, if with an error */
     if (is_success(head) ||
         (!is_unstamped_success(head) && head->status < 500 &&
          request->state != Sl_ROUTED_REQUEST_RESPONDING)) {
@@ -474,6 +482,7 @@
                               request->service->cold_start_us);
         SlLatency_LearnRun(router, &request->service->name,
                            router->now_us - request->upstream_call.sent_us);
+        note_begun(router, request, true);
         SlUpstreamCall_Detach(router, request);
         finish(router, request);
         return;
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -64,6 +64,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     router->broken_calls =
         g_array_new(FALSE, FALSE, sizeof(struct sl_broken_call));
+    router->quarantine = SlQuarantine_New();
     router->deferred_frees = g_ptr_array_new_with_free_func(free_request);
     return router;
 }
@@ -89,6 +90,7 @@
     g_hash_table_destroy(router->upstreams_by_key);
     g_hash_table_destroy(router->health_checks);
     g_array_free(router->broken_calls, TRUE);
+    SlQuarantine_Free(router->quarantine);
     g_hash_table_destroy(router->requests_by_token);
     g_hash_table_destroy(router->routed_requests);
     g_ptr_array_free(router->deferred_frees, TRUE);
@@ -280,6 +282,7 @@
     SlUpstreams_Expire(router);
     SlStartupQueue_Release(router);
     SlEngineEnds_Update(router);
+    SlPromptGuard_Update(router);
     if (router->capacity_changed && router->request_queue->length > 0) {
         SlRequestQueue_Dispatch(router);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -17,6 +17,7 @@
  * sl_stall_monitor.c     checks calls for progress; health checks
  * sl_stall_policy.c      decides whether to give up a stalled call
  * sl_engine_ends.c       finds out which engines have ended
+ * sl_prompt_guard.c      refuses requests whose prompts end engines
  * sl_routed_request.c    a request from its arrival to its end
  * sl_request_queue.c     requests that wait for an upstream
  * sl_upstream_call.c     sends requests to upstreams
@@ -44,6 +45,7 @@
 #define Sl_ROUTER_INTERNAL_H
 
 #include "sl_gossip.h"
+#include "sl_quarantine.h"
 #include "sl_router.h"
 #include "sl_stall_policy.h"
 
@@ -92,6 +94,7 @@
     int64_t backoff_until_us; /* it asked for no request until then */
     unsigned failures;        /* consecutive ones, seen by this router */
     int64_t in_flight;        /* calls of this router under way */
+    int64_t suspect_calls;    /* those of them that are suspects */
     int64_t last_bytes_us;    /* when any call last got bytes from it */
     /* When any call last got an event that is not the first of its stream.
      * First events may arrive while the other streams are stalled by
@@ -319,8 +322,9 @@
     int64_t uncached_tokens; /* prompt tokens that the upstream is estimated
                                 not to have in its prefix cache */
     bool is_prefilling;      /* its prompt counts in the prefill backlog */
-    bool was_idle; /* the upstream had no prefill backlog when it was sent */
-    bool was_cold; /* the upstream was cold when it was sent */
+    bool was_idle;   /* the upstream had no prefill backlog when it was sent */
+    bool was_cold;   /* the upstream was cold when it was sent */
+    bool is_suspect; /* its request is a suspect, and it has not begun */
     bool at_baseline; /* at a version that a roll-out replaces */
     bool has_head;    /* its response has begun */
     bool has_event;   /* its response, a stream, has sent an event */
@@ -342,10 +346,14 @@
 struct sl_broken_call {
     struct sl_name upstream;
     struct sl_name service;
+    struct sl_prompt_keys prompt;
     int64_t broken_us;
-    bool has_begun;        /* `has_begun` of the call */
-    bool is_upstream_gone; /* the upstream was found unreachable, replaced or
-                              restarted since */
+    bool has_head;  /* `has_head` of the call */
+    bool has_begun; /* `has_begun` of the call */
+    /* When the upstream's health checks failed; 0: they did not, or have to be
+     * repeated. */
+    int64_t unreachable_us;
+    bool is_replaced; /* the upstream was found replaced or restarted */
 };
 
 /* A client's request, from its arrival to its end. */
@@ -382,6 +390,17 @@
     size_t tried_count;
     struct sl_name tried[Sl_MAX_TRIED_UPSTREAMS]; /* ids of upstreams */
     struct sl_upstream_call upstream_call; /* the current or the last one */
+    struct sl_prompt_keys prompt; /* only set if the service is an engine */
+    /* Its last call broke after the head of the response and before it had
+     * begun: its prompt may end engines. */
+    bool is_suspect;
+    /* Its call is a trial: it tests whether a blocked prompt still ends
+     * engines. */
+    bool is_trial;
+    /* After its call broke, it waits until then at most, while it is not known
+     * whether the upstream has ended; 0: it does not wait. */
+    int64_t end_known_by_us;
+    struct sl_name broken_at; /* that upstream */
     uint64_t deadline_timer;
     GList *queue_link; /* in the queue of waiting requests; NULL: not there */
 };
@@ -512,9 +531,12 @@
     GQueue *request_queue; /* waiting struct sl_routed_request, most urgent
                               first */
     int64_t last_bytes_us; /* when any upstream or peer last sent anything */
-    GHashTable *health_checks;    /* token -> id of the upstream, both owned */
-    GArray *broken_calls;         /* struct sl_broken_call, oldest first */
-    int64_t stall_check_due_us;   /* next time to check a call for a stall */
+    GHashTable *health_checks; /* token -> id of the upstream, both owned */
+    GArray *broken_calls;      /* struct sl_broken_call, oldest first */
+    struct sl_quarantine *quarantine;
+    bool has_local_evidence;    /* its announcement also goes to the leaders */
+    uint64_t evidence_timer;    /* for the next digest about evidence */
+    int64_t stall_check_due_us; /* next time to check a call for a stall */
     int64_t stall_check_timer_us; /* when the timer for that check is due */
     uint64_t stall_check_timer;   /* 0: none */
     uint64_t queue_timer;  /* for the next dispatch of the queue; 0: none */
@@ -540,6 +562,12 @@
     Sl_ROUTER_METRIC_CALLS,
     Sl_ROUTER_METRIC_CALLS_FAILED,
     Sl_ROUTER_METRIC_ENGINES_ENDED,
+    Sl_ROUTER_METRIC_PROMPTS_SUSPECTED,
+    Sl_ROUTER_METRIC_PROMPT_BLOCKS,
+    Sl_ROUTER_METRIC_PROMPT_TRIALS,
+    Sl_ROUTER_METRIC_PROMPT_RELEASES,
+    Sl_ROUTER_METRIC_PROMPT_REFUSALS,
+    Sl_ROUTER_METRIC_PROMPT_BLOCKS_ACTIVE,
     Sl_ROUTER_METRIC_LOW_CONFIDENCE,
     Sl_ROUTER_METRIC_RETRIES,
     Sl_ROUTER_METRIC_RETRIES_DENIED,
@@ -589,6 +617,14 @@
 /* Counts the end of an engine of the service. */
 void SlRouterMetrics_OnEngineEnded(struct sl_router *router,
                                    const struct sl_name *service);
+/* Counts a change of the quarantine. */
+void
+SlRouterMetrics_OnQuarantineChange(struct sl_router *router,
+                                   const struct sl_quarantine_change *change);
+/* Counts a blocked request that is refused, or let through as a trial. */
+void SlRouterMetrics_OnPromptRefused(struct sl_router *router,
+                                     const struct sl_name *service);
+void SlRouterMetrics_OnPromptTrial(struct sl_router *router);
 /* Counts a response that is discarded for low confidence. */
 void SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                      const struct sl_routed_request *request);
@@ -660,6 +696,9 @@
 void SlUpstreams_OnCallSent(struct sl_router *router,
                             struct sl_router_upstream *upstream,
                             struct sl_routed_request *request);
+/* Handles that the call is no suspect any more, if it was one. */
+void SlUpstreams_OnCallCleared(struct sl_router_upstream *upstream,
+                               struct sl_upstream_call *call);
 /* Handles that a call has ended or was abandoned. Frees the upstream if the
  * store no longer has its entry, and no other call is under way there. */
 void SlUpstreams_OnCallEnded(struct sl_router *router,
@@ -1168,12 +1207,53 @@
 /* Handles that the connection of the request's call broke. */
 void SlEngineEnds_OnCallBroken(struct sl_router *router,
                                const struct sl_routed_request *request);
-/* Handles that the upstream was found unreachable, replaced by another one, or
- * restarted. */
-void SlEngineEnds_OnGone(struct sl_router *router,
-                         const struct sl_router_upstream *upstream);
+/* Handles that the health checks of the upstream failed. */
+void SlEngineEnds_OnUnreachable(struct sl_router *router,
+                                const struct sl_router_upstream *upstream);
+/* Handles that the upstream was found replaced by another one or by a new
+ * instance. */
+void SlEngineEnds_OnReplaced(struct sl_router *router,
+                             const struct sl_router_upstream *upstream);
 /* Handles the ends of engines that are certain by now. */
 void SlEngineEnds_Update(struct sl_router *router);
+/* Returns true while it is not known whether the upstream, at which a call
+ * broke, has ended. */
+bool SlEngineEnds_IsUndecided(const struct sl_router *router,
+                              const struct sl_name *upstream);
+
+/* ---- prompts that end engines ---- */
+
+/* What becomes of a waiting request. */
+enum sl_prompt_decision {
+    Sl_PROMPT_ADMITTED,
+    Sl_PROMPT_HELD, /* it is not known yet whether its prompt ends engines */
+    Sl_PROMPT_REFUSED, /* the request has ended */
+};
+
+/* Sets the keys of the request's prompt. */
+void SlPromptGuard_SetKeys(struct sl_routed_request *request);
+/* Decides whether a waiting request may be sent to an upstream. */
+enum sl_prompt_decision
+SlPromptGuard_Decide(struct sl_router *router,
+                     struct sl_routed_request *request);
+/* Handles that the request's call has begun. */
+void SlPromptGuard_OnBegun(struct sl_router *router,
+                           const struct sl_routed_request *request);
+/* Handles that the request's call broke, before the request is retried. */
+void SlPromptGuard_OnCallBroken(struct sl_router *router,
+                                struct sl_routed_request *request);
+/* Handles the end of an engine, at which the calls had not begun. */
+void SlPromptGuard_OnEnd(struct sl_router *router,
+                         const struct sl_name *upstream, int64_t at_us,
+                         const struct sl_unbegun_call *calls, size_t count);
+/* Handles a peer's report. */
+void SlPromptGuard_OnReport(struct sl_router *router,
+                            const struct sl_gossip_quarantine *report);
+/* Appends the block's keys as text, separated by commas. */
+void SlPromptGuard_AppendKeys(const struct sl_quarantine_block *block,
+                              struct sl_buf *out);
+/* Logs what has changed, and abandons calls whose prompts are blocked now. */
+void SlPromptGuard_Update(struct sl_router *router);
 
 /* ---- responses ---- */
 
@@ -1252,6 +1332,9 @@
                     const struct sl_gossip_digest *digest,
                     GPtrArray *recipients);
 
+/* Schedules a digest that spreads new evidence against prompts.
+ * `is_local`: this router has found it itself. */
+void SlDigests_ScheduleEvidence(struct sl_router *router, bool is_local);
 /* Schedules a digest to the routers that get updates of the store from this
  * one, as there are such updates. */
 void SlDigests_ScheduleUpdates(struct sl_router *router);
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -64,6 +64,42 @@
          "Engines that ended while this router had calls there.",
          {"service"},
          NULL},
+    [Sl_ROUTER_METRIC_PROMPTS_SUSPECTED] =
+        {"sassafrasledge_prompts_suspected_total",
+         Sl_METRIC_COUNTER,
+         "Prompts or parts that two engines may have ended by.",
+         {NULL},
+         NULL},
+    [Sl_ROUTER_METRIC_PROMPT_BLOCKS] =
+        {"sassafrasledge_prompt_blocks_total",
+         Sl_METRIC_COUNTER,
+         "Blocks of prompts or parts; source: local, peer.",
+         {"source"},
+         NULL},
+    [Sl_ROUTER_METRIC_PROMPT_TRIALS] =
+        {"sassafrasledge_prompt_trials_total",
+         Sl_METRIC_COUNTER,
+         "Trials of blocked prompts; outcome: sent, failed.",
+         {"outcome"},
+         NULL},
+    [Sl_ROUTER_METRIC_PROMPT_RELEASES] =
+        {"sassafrasledge_prompt_releases_total",
+         Sl_METRIC_COUNTER,
+         "Blocks that ended; reason: begun, expired.",
+         {"reason"},
+         NULL},
+    [Sl_ROUTER_METRIC_PROMPT_REFUSALS] =
+        {"sassafrasledge_prompt_refusals_total",
+         Sl_METRIC_COUNTER,
+         "Requests refused for a blocked prompt.",
+         {"service"},
+         NULL},
+    [Sl_ROUTER_METRIC_PROMPT_BLOCKS_ACTIVE] =
+        {"sassafrasledge_prompt_blocks",
+         Sl_METRIC_GAUGE,
+         "Blocks of prompts or parts that are in force.",
+         {NULL},
+         NULL},
     [Sl_ROUTER_METRIC_LOW_CONFIDENCE] =
         {"sassafrasledge_answers_doubted_total",
          Sl_METRIC_COUNTER,
@@ -246,6 +282,47 @@
                   NULL, 1);
 }
 
+void
+SlRouterMetrics_OnQuarantineChange(struct sl_router *router,
+                                   const struct sl_quarantine_change *change)
+{
+    static const struct {
+        enum sl_router_metric metric;
+        const char *label; /* NULL: none */
+    } metrics[] = {
+        [Sl_QUARANTINE_SUSPECTED] = {Sl_ROUTER_METRIC_PROMPTS_SUSPECTED, NULL},
+        [Sl_QUARANTINE_BLOCKED] = {Sl_ROUTER_METRIC_PROMPT_BLOCKS, "local"},
+        [Sl_QUARANTINE_TRIAL_FAILED] = {Sl_ROUTER_METRIC_PROMPT_TRIALS,
+                                        "failed"},
+        [Sl_QUARANTINE_RELEASED] = {Sl_ROUTER_METRIC_PROMPT_RELEASES, "begun"},
+        [Sl_QUARANTINE_EXPIRED] = {Sl_ROUTER_METRIC_PROMPT_RELEASES,
+                                   "expired"},
+    };
+    const char *text = metrics[change->type].label;
+    if (change->type == Sl_QUARANTINE_BLOCKED && change->is_reported) {
+        text = "peer";
+    }
+    struct sl_name label = SlName_Of(text == NULL ? "" : text);
+    SlMetrics_Add(router->metrics, metrics[change->type].metric,
+                  text == NULL ? NULL : &label, NULL, 1);
+}
+
+void
+SlRouterMetrics_OnPromptRefused(struct sl_router *router,
+                                const struct sl_name *service)
+{
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_PROMPT_REFUSALS, service,
+                  NULL, 1);
+}
+
+void
+SlRouterMetrics_OnPromptTrial(struct sl_router *router)
+{
+    struct sl_name outcome = SlName_Of("sent");
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_PROMPT_TRIALS, &outcome,
+                  NULL, 1);
+}
+
 void
 SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                 const struct sl_routed_request *request)
@@ -339,6 +416,10 @@
     set_gauge(router, Sl_ROUTER_METRIC_IN_FLIGHT,
               g_hash_table_size(router->routed_requests));
     set_gauge(router, Sl_ROUTER_METRIC_WAITING, router->request_queue->length);
+    size_t block_count;
+    (void)SlQuarantine_Blocks(router->quarantine, &block_count);
+    set_gauge(router, Sl_ROUTER_METRIC_PROMPT_BLOCKS_ACTIVE,
+              (double)block_count);
     set_gauge(router, Sl_ROUTER_METRIC_FLEET,
               (double)SlPeers_FleetSize(router));
     set_gauge(router, Sl_ROUTER_METRIC_CONFIGURATION,
--- a/lib/router/sl_stall_monitor.c
+++ b/lib/router/sl_stall_monitor.c
@@ -103,7 +103,7 @@
         return;
     }
     check->failed_count = 0;
-    SlEngineEnds_OnGone(router, upstream);
+    SlEngineEnds_OnUnreachable(router, upstream);
     if (is_any_heard) {
         set_unreachable(router, upstream);
     }
@@ -129,8 +129,10 @@
     else {
         on_check_failed(router, upstream);
     }
-    /* The result may change the decision on the upstream's calls. */
+    /* The result may change the decision on the upstream's calls, and on
+     * requests that wait for it. */
     router->stall_check_due_us = router->now_us;
+    router->capacity_changed = true;
 }
 
 /* ---- state of calls ---- */
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -106,7 +106,7 @@
     upstream->restarted_us = router->now_us;
     upstream->failures = 0;
     upstream->ejected_until_us = 0;
-    SlEngineEnds_OnGone(router, upstream);
+    SlEngineEnds_OnReplaced(router, upstream);
     SlUpstreamNotices_OnUpstreamStart(router, upstream);
 }
 
@@ -366,6 +366,8 @@
         upstream->cold_sent_us = router->now_us;
     }
     upstream->in_flight++;
+    call->is_suspect = request->is_suspect;
+    upstream->suspect_calls += call->is_suspect ? 1 : 0;
     upstream->sent_since_report++;
     router->loads_changed = true;
     if (!request->service->is_engine) {
@@ -396,6 +398,14 @@
     }
 }
 
+void
+SlUpstreams_OnCallCleared(struct sl_router_upstream *upstream,
+                          struct sl_upstream_call *call)
+{
+    upstream->suspect_calls -= call->is_suspect ? 1 : 0;
+    call->is_suspect = false;
+}
+
 void
 SlUpstreams_OnCallEnded(struct sl_router *router,
                         struct sl_router_upstream *upstream,
@@ -403,6 +413,7 @@
 {
     assert(upstream->in_flight > 0);
     SlUpstreams_OnPrefillDone(router, upstream, call);
+    SlUpstreams_OnCallCleared(upstream, call);
     upstream->in_flight--;
     if (upstream->reported_load > 0) {
         upstream->reported_load--;
@@ -497,7 +508,7 @@
     upstream->is_replaced = true;
     upstream->local_fault_us = router->now_us;
     router->loads_changed = true;
-    SlEngineEnds_OnGone(router, upstream);
+    SlEngineEnds_OnReplaced(router, upstream);
     log_upstream(router, upstream, "upstream_replaced");
 }
 
--- a/programs/sassafrasctl_explain.c
+++ b/programs/sassafrasctl_explain.c
@@ -319,8 +319,8 @@
 is_failure(const struct sl_log_line *line)
 {
     static const char *const events[] = {
-        "attempt_failed", "call_silent", "unplaced",
-        "repeat_denied",  "caller_gone", NULL,
+        "attempt_failed", "call_silent",    "unplaced", "repeat_denied",
+        "caller_gone",    "prompt_refused", NULL,
     };
     if (g_strv_contains(events, line->event)) {
         return true;
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -43,6 +43,8 @@
         return true;
     };
     std::function<void(uint64_t, int)> on_reply;
+    // A router has refused a request itself, for this reason.
+    std::function<void(uint64_t, const std::string &)> on_refusal;
     // The first router pulls records from the second.
     std::function<void(size_t, size_t)> on_pull;
     // The first router gets all records from the second although it has some.
@@ -325,6 +327,9 @@
             }
             break;
         case Sl_ROUTER_EFFECT_REPLY:
+            if (on_refusal && effect.u.reply.is_generated) {
+                on_refusal(effect.u.reply.conn, effect.u.reply.reason);
+            }
             if (on_reply) {
                 on_reply(effect.u.reply.conn, effect.u.reply.status);
             }
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -36,6 +36,9 @@
 //   request CONN host= path= [key=] [id=] [deadline=] [model=] [session=]
 //     [parts=ID:TOKENS,..] [tokens=] [last=]
 //       a client sends a request; last: id of the last event it received
+//   serve COUNT path= [parts=] [model=]
+//       so many requests, one after the other, each with a complete response
+//       and a further part of its own
 //   disconnect CONN         the client disconnects
 //   head CONN STATUS [stamp] [not-run] [wrong-instance] [confidence=]
 //     [leaving] [load=RUNNING,WAITING] [retry=] [invalid-retry]
@@ -50,12 +53,15 @@
 //     [fault=ID[:replaced | :leaving:MS],..] [order=] [elapsed=] [base=]
 //     [suspect] [answers= bad= base-answers= base-bad=] [leaving] [store-age=]
 //     [known=] [relay=PLACE] [age=] [again] [boot=] [address=]
-//       a digest from a peer; age: it was relayed; again: repeats the sequence
-//       number of the last one
+//     [block=PART,..] [ended=UPSTREAM:PART] [begun=PART,..]
+//       a digest from a peer; block: parts of which a prompt must not hold
+//       all; ended: an upstream that has ended by a part; begun: parts that
+//       are no suspects any more; all are of the service plume; age: it was
+//       relayed; again: repeats the sequence number of the last one
 //   appended [conflict] [err=]   result of the newest append to the store
 //   peer-list VM...         a peer sends its list of routers
-//   unreachable UPSTREAM | reachable UPSTREAM
-//       its health checks fail, or succeed
+//   unreachable UPSTREAM | refusing UPSTREAM | reachable UPSTREAM...
+//       its health checks fail after a timeout, or at once, or succeed
 //   reads                   prints the reads since the last such line
 //   drain                   begins a drain
 //   show WORD... | hide WORD...   selects optional output: log events by
@@ -74,6 +80,10 @@
 
 #include "router_simulation.h"
 
+extern "C" {
+#include "sl_quarantine.h"
+}
+
 namespace fs = std::filesystem;
 
 static fs::path
@@ -196,7 +206,8 @@
     uint64_t append_token = 0;
     std::map<std::string, uint64_t> digest_sequences; // by VM
     std::map<std::string, uint64_t> newest_calls;     // token by request id
-    std::map<uint64_t, std::string> request_ids;      // by token of a call
+    uint64_t served = 0;                         // requests of `serve` lines
+    std::map<uint64_t, std::string> request_ids; // by token of a call
 
     uint64_t
     newest_call(const script_line &args)
@@ -247,6 +258,7 @@
                 {"peer-records", &Script::on_peer_records},
                 {"request", &Script::on_request},
                 {"disconnect", &Script::on_disconnect},
+                {"serve", &Script::on_serve},
                 {"head", &Script::on_head},
                 {"chunk", &Script::on_chunk},
                 {"done", &Script::on_done},
@@ -259,6 +271,7 @@
                 {"metrics", &Script::on_metrics},
                 {"reads", &Script::on_reads},
                 {"unreachable", &Script::on_reachability},
+                {"refusing", &Script::on_reachability},
                 {"reachable", &Script::on_reachability},
             };
         if (line[0] == '+') {
@@ -294,11 +307,15 @@
     void
     on_reachability(const script_line &args)
     {
-        if (args.words.at(0) == "unreachable") {
-            simulation.unreachable.insert(args.words.at(1));
-        }
-        else {
-            simulation.unreachable.erase(args.words.at(1));
+        for (size_t i = 1; i < args.words.size(); i++) {
+            simulation.unreachable.erase(args.words[i]);
+            simulation.refusing.erase(args.words[i]);
+            if (args.words[0] == "unreachable") {
+                simulation.unreachable.insert(args.words[i]);
+            }
+            else if (args.words[0] == "refusing") {
+                simulation.refusing.insert(args.words[i]);
+            }
         }
     }
 
@@ -579,6 +596,20 @@
         simulation.reduce(event);
     }
 
+    void
+    on_serve(const script_line &args)
+    {
+        for (uint64_t i = 0; i < args.number_at(1); i++) {
+            std::string own = std::to_string(100000 + served++);
+            std::string conn = " " + own;
+            run_line("request" + conn + " path=" + args.str("path") +
+                     " model=" + args.str("model", "*") + " parts=" +
+                     args.str("parts", "1:10") + "," + own + ":10");
+            run_line("head" + conn + " 200 stamp confidence=90");
+            run_line("done" + conn);
+        }
+    }
+
     void
     on_disconnect(const script_line &args)
     {
@@ -705,10 +736,48 @@
                     in_tenths(args, "base-bad")};
             }
         }
+        add_quarantine(args, &digest->quarantine);
         event.u.digest = digest.get();
         simulation.reduce(event);
     }
 
+    // Returns the key of a prompt part of the service plume.
+    static uint32_t
+    key_of(const std::string &part)
+    {
+        const uint64_t ids[] = {std::stoull(part), 0};
+        struct sl_prompt_keys keys;
+        SlPromptKeys_Set(&keys, Sl_STR("plume"), ids, 2, Sl_STR(""));
+        return keys.parts[0];
+    }
+
+    static void
+    add_quarantine(const script_line &args,
+                   struct sl_gossip_quarantine *quarantine)
+    {
+        std::vector<std::string> block = split(args.str("block"));
+        std::vector<std::string> ended = split(args.str("ended"), ':');
+        if (!block.empty()) {
+            quarantine->block_count = 1;
+            quarantine->blocks[0].trial_in_ms = 30000;
+            for (const std::string &part : block) {
+                struct sl_gossip_block &at = quarantine->blocks[0];
+                at.keys[at.key_count++] = key_of(part);
+            }
+        }
+        if (ended.size() == 2) {
+            quarantine->end_count = 1;
+            quarantine->ends[0].engine =
+                (uint32_t)SlHash_Bytes(0, view(ended[0]));
+            quarantine->ends[0].suspect_count = 1;
+            quarantine->ends[0].suspects[0] = {key_of(ended[1]), true, 0};
+        }
+        for (const std::string &part : split(args.str("begun"))) {
+            quarantine->cleared[quarantine->cleared_count++] = {key_of(part),
+                                                                0};
+        }
+    }
+
     void
     on_appended(const script_line &args)
     {
