quarantine, engine ends: expired blocks and engines that go on

Cause: reports said when a trial is due, 0 once it was; a router that had dropped a block took it up again from one that drops it a little later, and so on without end. And a health check that fails counted as the end of an engine although another call there had gone on, if that call was over by then. Change: reports say when the block ends, and blocks that are about to end are not taken up; an engine that has sent bytes since a call broke has not ended. Tests that missed mutants of the decision are stronger: explained ends, chance, waiting calls, suspects kept apart.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -127,7 +127,7 @@
 {
     msgpack_pack_array(packer, Sl_BLOCK_FIELDS);
     msgpack_pack_uint32(packer, block->end_age_ms);
-    msgpack_pack_uint32(packer, block->trial_in_ms);
+    msgpack_pack_uint32(packer, block->expires_in_ms);
     msgpack_pack_uint32(packer, block->failed_trials);
     msgpack_pack_array(packer, block->key_count);
     for (size_t i = 0; i < block->key_count; i++) {
@@ -432,7 +432,7 @@
 decode_block(struct sl_array_reader fields, struct sl_gossip_block *block)
 {
     block->end_age_ms = next_uint32(&fields);
-    block->trial_in_ms = next_uint32(&fields);
+    block->expires_in_ms = next_uint32(&fields);
     block->failed_trials = next_uint32(&fields);
     struct sl_array_reader keys =
         next_array(&fields, Sl_GOSSIP_MAX_BLOCK_KEYS);
@@ -580,7 +580,7 @@
     for (size_t i = 0; i < quarantine->block_count; i++) {
         struct sl_gossip_block *block = &quarantine->blocks[i];
         block->end_age_ms = add_saturating(block->end_age_ms, ms);
-        block->trial_in_ms -= MIN(block->trial_in_ms, ms);
+        block->expires_in_ms -= MIN(block->expires_in_ms, ms);
     }
     for (size_t i = 0; i < quarantine->cleared_count; i++) {
         struct sl_gossip_cleared *cleared = &quarantine->cleared[i];
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -137,7 +137,7 @@
 /* Keys; prompts that hold all of them are refused. */
 struct sl_gossip_block {
     uint32_t end_age_ms;    /* since the last end of an engine by them */
-    uint32_t trial_in_ms;   /* until they may be tested again */
+    uint32_t expires_in_ms; /* until the block ends if nobody tests it */
     uint32_t failed_trials; /* number of tests by which an engine has ended */
     size_t key_count;       /* 1 or more */
     uint32_t keys[Sl_GOSSIP_MAX_BLOCK_KEYS];
--- a/lib/quarantine/sl_blocks.c
+++ b/lib/quarantine/sl_blocks.c
@@ -78,6 +78,20 @@
     return SlPromptKeys_IsWhole(block->keys[0]);
 }
 
+/* Returns the time for which a block lasts after a trial is due, if there is
+ * none. That of a whole prompt needs no trial. */
+static int64_t
+idle_us(const struct sl_quarantine_block *block)
+{
+    return is_of_whole(block) ? 0 : Sl_BLOCK_IDLE_US;
+}
+
+int64_t
+SlBlocks_ExpiryUs(const struct sl_quarantine_block *block)
+{
+    return block->trial_due_us + idle_us(block);
+}
+
 static int64_t
 duration_us(unsigned failed_trials)
 {
@@ -198,16 +212,21 @@
 
 void
 SlBlocks_AddReported(struct sl_quarantine *quarantine, int64_t now_us,
-                     const struct sl_quarantine_block *block)
+                     const struct sl_quarantine_block *block,
+                     int64_t expiry_us)
 {
     struct sl_quarantine_block added = *block;
+    if (expiry_us - now_us < Sl_MIN_DIFFERENCE_US) {
+        return; /* it has ended here, and will soon end at the peer */
+    }
     added.key_count = 0;
     for (size_t i = 0; i < block->key_count; i++) {
         if (!has_begun_since(quarantine, block->keys[i], block->last_end_us)) {
             added.keys[added.key_count++] = block->keys[i];
         }
     }
-    added.trial_due_us = MIN(block->trial_due_us, now_us + Sl_MAX_BLOCK_US);
+    added.trial_due_us =
+        MIN(expiry_us - idle_us(block), now_us + Sl_MAX_BLOCK_US);
     added.failed_trials = MIN(block->failed_trials, Sl_MAX_DOUBLINGS);
     if (added.key_count > 0) {
         add(quarantine, &added, NULL);
@@ -302,8 +321,7 @@
     for (guint i = quarantine->blocks->len; i > 0; i--) {
         const struct sl_quarantine_block *block =
             SlBlocks_At(quarantine, i - 1);
-        int64_t idle_us = is_of_whole(block) ? 0 : Sl_BLOCK_IDLE_US;
-        if (now_us >= block->trial_due_us + idle_us) {
+        if (now_us >= SlBlocks_ExpiryUs(block)) {
             SlQuarantine_AddChange(quarantine, Sl_QUARANTINE_EXPIRED, block,
                                    NULL, false);
             g_array_remove_index(quarantine->blocks, i - 1);
--- a/lib/quarantine/sl_quarantine_internal.h
+++ b/lib/quarantine/sl_quarantine_internal.h
@@ -160,10 +160,14 @@
 void SlBlocks_AddGuilty(struct sl_quarantine *quarantine, const uint32_t *keys,
                         size_t count, int64_t end_us,
                         const struct sl_blame *blame);
+/* Returns when the block ends if there is no trial. */
+int64_t SlBlocks_ExpiryUs(const struct sl_quarantine_block *block);
 /* Adds a block that a peer has reported, but for keys that have begun since,
- * or updates an equal one by what is newer. */
+ * or updates an equal one by what is newer. Its `trial_due_us` follows from
+ * `expiry_us`. */
 void SlBlocks_AddReported(struct sl_quarantine *quarantine, int64_t now_us,
-                          const struct sl_quarantine_block *block);
+                          const struct sl_quarantine_block *block,
+                          int64_t expiry_us);
 /* Updates the blocks that explain the end, which are thus confirmed. */
 void SlBlocks_Confirm(struct sl_quarantine *quarantine,
                       const struct sl_end *end);
--- a/lib/quarantine/sl_reports.c
+++ b/lib/quarantine/sl_reports.c
@@ -113,7 +113,7 @@
                            quarantine->next_block++ % count);
         struct sl_gossip_block *item = &report->blocks[i];
         item->end_age_ms = to_ms(now_us - block->last_end_us);
-        item->trial_in_ms = to_ms(block->trial_due_us - now_us);
+        item->expires_in_ms = to_ms(SlBlocks_ExpiryUs(block) - now_us);
         item->failed_trials = block->failed_trials;
         item->key_count = block->key_count;
         memcpy(item->keys, block->keys, sizeof(item->keys));
@@ -178,11 +178,11 @@
     struct sl_quarantine_block block = {
         .key_count = report->key_count,
         .last_end_us = now_us - report->end_age_ms * Sl_US_PER_MS,
-        .trial_due_us = now_us + report->trial_in_ms * Sl_US_PER_MS,
         .failed_trials = report->failed_trials,
     };
     memcpy(block.keys, report->keys, sizeof(block.keys));
-    SlBlocks_AddReported(quarantine, now_us, &block);
+    SlBlocks_AddReported(quarantine, now_us, &block,
+                         now_us + report->expires_in_ms * Sl_US_PER_MS);
 }
 
 void
--- a/lib/router/sl_engine_ends.c
+++ b/lib/router/sl_engine_ends.c
@@ -137,16 +137,18 @@
                         end->unbegun_count);
 }
 
-/* Returns true if calls of this router at the upstream may still go on:
- * connections break at once when a process ends, unless they are silent. */
+/* Returns true if the upstream has sent bytes since, or other calls of this
+ * router there may still go on: connections break at once when a process ends,
+ * unless they are silent. */
 static bool
-has_other_calls(const struct sl_router *router,
-                const struct sl_router_upstream *upstream,
-                const struct sl_broken_call *call)
+may_go_on(const struct sl_router *router,
+          const struct sl_router_upstream *upstream,
+          const struct sl_broken_call *call)
 {
-    return upstream != NULL && upstream->in_flight > 0 &&
+    return upstream != NULL &&
            (upstream->last_bytes_us > call->broken_us ||
-            router->now_us - call->broken_us < Sl_END_SPREAD_US);
+            (upstream->in_flight > 0 &&
+             router->now_us - call->broken_us < Sl_END_SPREAD_US));
 }
 
 /* Returns true if the call's upstream is known to have ended. */
@@ -158,7 +160,7 @@
     return call->is_replaced ||
            (call->unreachable_us != 0 &&
             router->last_bytes_us > call->unreachable_us &&
-            !has_other_calls(router, upstream, call));
+            !may_go_on(router, upstream, call));
 }
 
 /* Repeats the health check of an upstream that failed when nothing was heard
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -95,7 +95,7 @@
     EXPECT_FALSE(quarantine.ends[0].suspects[1].has_started);
     ASSERT_EQ(quarantine.block_count, 1u);
     EXPECT_EQ(quarantine.blocks[0].end_age_ms, 40u);
-    EXPECT_EQ(quarantine.blocks[0].trial_in_ms, 30000u);
+    EXPECT_EQ(quarantine.blocks[0].expires_in_ms, 30000u);
     EXPECT_EQ(quarantine.blocks[0].failed_trials, 2u);
     ASSERT_EQ(quarantine.blocks[0].key_count, 2u);
     EXPECT_EQ(quarantine.blocks[0].keys[1], 8u);
@@ -119,10 +119,10 @@
     EXPECT_EQ(digest->staleness_ms, UINT32_MAX);
     EXPECT_EQ(digest->quarantine.ends[0].age_ms, 160u);
     EXPECT_EQ(digest->quarantine.blocks[0].end_age_ms, 80u);
-    EXPECT_EQ(digest->quarantine.blocks[0].trial_in_ms, 29960u);
+    EXPECT_EQ(digest->quarantine.blocks[0].expires_in_ms, 29960u);
     EXPECT_EQ(digest->quarantine.cleared[0].age_ms, 940u);
     SlGossip_AddAge(digest.get(), 60 * Sl_US_PER_S);
-    EXPECT_EQ(digest->quarantine.blocks[0].trial_in_ms, 0u);
+    EXPECT_EQ(digest->quarantine.blocks[0].expires_in_ms, 0u);
 }
 
 // Fills the digest's quarantine with items that have the longest encoding.
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -276,7 +276,7 @@
 
 // 40 engines end at once, for another reason than their requests: with calls
 // that wait and hold parts which have not begun yet, some of them in a fifth
-// of the calls, and a few that had started.
+// of the calls, and a few that had started, of which three hold the same part.
 TEST(Quarantine, BlocksNothingWhenManyEnginesEndAtOnce)
 {
     Router router;
@@ -284,7 +284,8 @@
     for (uint32_t engine = 1; engine <= 40; engine++) {
         std::vector<Parts> started;
         if (engine % 4 == 0) {
-            started.push_back({first, 400 + engine, 4000 + engine});
+            uint64_t part = engine % 12 == 0 ? 400 : 400 + engine;
+            started.push_back({first, part, 4000 + engine});
         }
         router.end(engine, started,
                    {{first, 200 + engine % 13, 2000 + engine},
@@ -309,6 +310,39 @@
     EXPECT_EQ(router.block_count(), 0u);
 }
 
+// Engines end by their load, and calls with two common parts wait at each,
+// while other calls begin.
+TEST(Quarantine, BlocksNoCommonPartThatWaitsInAnOverload)
+{
+    Router router;
+    router.serve_s(30);
+    for (uint32_t engine = 1; engine <= 5; engine++) {
+        router.end(engine, {},
+                   {{first, 100, engine}, {first, 101, engine + 10}});
+        for (uint64_t i = 0; i < 3; i++) {
+            router.advance_s(0.1);
+            router.begin({first, 110 + i, 7});
+        }
+    }
+    EXPECT_EQ(router.block_count(), 0u);
+}
+
+// Parts that go with a part that is blocked: its block explains their ends.
+TEST(Quarantine, DoesNotBlockWhatABlockedPartExplains)
+{
+    Router router;
+    router.serve_s(30);
+    for (uint64_t i = 0; i < 3; i++) {
+        router.end_by({first, 200 + i, deadly});
+    }
+    ASSERT_TRUE(router.blocks({first, deadly}));
+    for (int i = 0; i < 5; i++) {
+        router.end_by({first, team, deadly});
+        router.advance_s(0.3);
+    }
+    EXPECT_FALSE(router.blocks({first, team}));
+}
+
 // An engine that ends before it has sent the head of the response.
 TEST(Quarantine, BlocksAPartWhoseCallsNeverStart)
 {
@@ -541,6 +575,24 @@
     EXPECT_FALSE(two.blocks({first, team, deadly}));
 }
 
+// Routers that drop a block hear of it again from others, which drop it a
+// little later.
+TEST(Quarantine, ABlockThatExpiresDoesNotComeBack)
+{
+    Router one, two;
+    one.serve_s(30);
+    two.serve_s(30);
+    end_three(&one);
+    one.end(1, {{first, 8, 7}});
+    one.end(2, {{first, 8, 7}});
+    for (int i = 0; i < 1300; i++) {
+        two.hear_late(one, 0.25);
+        one.hear_late(two, 0.25);
+    }
+    EXPECT_EQ(one.block_count(), 0u);
+    EXPECT_EQ(two.block_count(), 0u);
+}
+
 TEST(Quarantine, ReportsMoreBlocksThanFitInTurn)
 {
     Router one, two;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -759,7 +759,8 @@
         std::vector<std::string> ended = split(args.str("ended"), ':');
         if (!block.empty()) {
             quarantine->block_count = 1;
-            quarantine->blocks[0].trial_in_ms = 30000;
+            /* A trial is due 10 minutes before the block ends. */
+            quarantine->blocks[0].expires_in_ms = 630000;
             for (const std::string &part : block) {
                 struct sl_gossip_block &at = quarantine->blocks[0];
                 at.keys[at.key_count++] = key_of(part);
