rollouts: compare the pace of versions, not only the rate of slow responses

Cause: a response counted as slow above three times the usual time and 50 ms, so that 2 or 3 of the canary's 20 timed responses counted, which chance explains; and the usual time of a model was learned from the version under test. Why this works: the mean uses what each response says, not only whether it passes a threshold; during a roll-out only the baseline teaches usual times. The rate of slow responses stays: it finds versions that are slow now and then.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -11,7 +11,7 @@
  * its loads, faults, tallies, sessions, and the items of its quarantine. */
 #define Sl_FIXED_BYTES 364
 #define Sl_FAULT_BYTES 9
-#define Sl_TALLY_BYTES 30
+#define Sl_TALLY_BYTES 42
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
 #define Sl_END_BYTES 14
@@ -33,7 +33,7 @@
 #define Sl_DIGEST_FIELDS 15
 #define Sl_LOAD_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 9
-#define Sl_TALLY_FIELDS (1 + 4 * Sl_SYMPTOM_COUNT)
+#define Sl_TALLY_FIELDS 13
 #define Sl_QUARANTINE_FIELDS 3
 #define Sl_END_FIELDS 3
 #define Sl_BLOCK_FIELDS 4
@@ -51,12 +51,15 @@
 }
 
 static void
-pack_symptoms(msgpack_packer *packer, const struct sl_gossip_symptom *symptoms)
+pack_responses(msgpack_packer *packer,
+               const struct sl_gossip_responses *responses)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        msgpack_pack_uint16(packer, symptoms[i].responses);
-        msgpack_pack_uint16(packer, symptoms[i].bad);
-    }
+    msgpack_pack_uint16(packer, responses->count);
+    msgpack_pack_uint16(packer, responses->failed);
+    msgpack_pack_uint16(packer, responses->timed);
+    msgpack_pack_uint16(packer, responses->slow);
+    msgpack_pack_uint16(packer, responses->mean_pace);
+    msgpack_pack_uint16(packer, responses->mean_square);
 }
 
 static uint64_t
@@ -82,7 +85,7 @@
 
 static void
 pack_rollout(msgpack_packer *packer, const struct sl_gossip_rollout *rollout,
-             size_t session_count)
+             size_t tally_count, size_t session_count)
 {
     msgpack_pack_array(packer, Sl_ROLLOUT_FIELDS);
     msgpack_pack_uint64(packer, rollout->order_offset);
@@ -92,13 +95,13 @@
     msgpack_pack_uint32(packer, rollout->calls.target);
     msgpack_pack_uint32(packer, rollout->counted_ms);
     msgpack_pack_uint8(packer, rollout->is_suspect ? 1 : 0);
-    msgpack_pack_array(packer, rollout->tally_count);
-    for (size_t i = 0; i < rollout->tally_count; i++) {
+    msgpack_pack_array(packer, tally_count);
+    for (size_t i = 0; i < tally_count; i++) {
         const struct sl_gossip_tally *tally = &rollout->tallies[i];
         msgpack_pack_array(packer, Sl_TALLY_FIELDS);
         msgpack_pack_uint32(packer, tally->route);
-        pack_symptoms(packer, tally->target);
-        pack_symptoms(packer, tally->baseline);
+        pack_responses(packer, &tally->target);
+        pack_responses(packer, &tally->baseline);
     }
     msgpack_pack_array(packer, session_count);
     for (size_t i = 0; i < session_count; i++) {
@@ -197,15 +200,22 @@
     quarantine->cleared_count = cleared;
 }
 
-/* Returns how many bytes of the datagram remain for the quarantine, loads and
- * sessions. */
+/* Returns how many tallies of the roll-out fit in, if each roll-out takes the
+ * same share of `bytes`. */
+static size_t
+fit_tallies(const struct sl_gossip_digest *digest, size_t rollout,
+            size_t bytes)
+{
+    return MIN(digest->rollouts[rollout].tally_count,
+               bytes / digest->rollout_count / Sl_TALLY_BYTES);
+}
+
+/* Returns how many bytes of the datagram remain for tallies, the quarantine,
+ * loads and sessions. */
 static size_t
 bytes_for_variable_items(const struct sl_gossip_digest *digest)
 {
     size_t used = Sl_FIXED_BYTES + digest->fault_count * Sl_FAULT_BYTES;
-    for (size_t i = 0; i < digest->rollout_count; i++) {
-        used += digest->rollouts[i].tally_count * Sl_TALLY_BYTES;
-    }
     return Sl_GOSSIP_MAX_BYTES - MIN(used, Sl_GOSSIP_MAX_BYTES);
 }
 
@@ -213,6 +223,13 @@
 pack_digest(msgpack_packer *packer, const struct sl_gossip_digest *digest)
 {
     size_t free_bytes = bytes_for_variable_items(digest);
+    size_t tally_counts[Sl_GOSSIP_MAX_ROLLOUTS];
+    size_t tally_bytes = 0;
+    for (size_t i = 0; i < digest->rollout_count; i++) {
+        tally_counts[i] = fit_tallies(digest, i, free_bytes);
+        tally_bytes += tally_counts[i] * Sl_TALLY_BYTES;
+    }
+    free_bytes -= tally_bytes;
     struct sl_gossip_quarantine quarantine = digest->quarantine;
     fit_quarantine(&quarantine, &free_bytes);
     size_t load_count = MIN(digest->load_count, free_bytes / Sl_LOAD_BYTES);
@@ -250,7 +267,8 @@
         size_t session_count = MIN(digest->rollouts[i].session_count,
                                    free_bytes / Sl_SESSION_BYTES);
         free_bytes -= session_count * Sl_SESSION_BYTES;
-        pack_rollout(packer, &digest->rollouts[i], session_count);
+        pack_rollout(packer, &digest->rollouts[i], tally_counts[i],
+                     session_count);
     }
     pack_quarantine(packer, &quarantine);
 }
@@ -364,21 +382,23 @@
 }
 
 static void
-next_symptoms(struct sl_array_reader *reader,
-              struct sl_gossip_symptom *symptoms)
+next_responses(struct sl_array_reader *reader,
+               struct sl_gossip_responses *responses)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        symptoms[i].responses = next_uint16(reader);
-        symptoms[i].bad = next_uint16(reader);
-    }
+    responses->count = next_uint16(reader);
+    responses->failed = next_uint16(reader);
+    responses->timed = next_uint16(reader);
+    responses->slow = next_uint16(reader);
+    responses->mean_pace = next_uint16(reader);
+    responses->mean_square = next_uint16(reader);
 }
 
 static bool
 decode_tally(struct sl_array_reader fields, struct sl_gossip_tally *tally)
 {
     tally->route = next_uint32(&fields);
-    next_symptoms(&fields, tally->target);
-    next_symptoms(&fields, tally->baseline);
+    next_responses(&fields, &tally->target);
+    next_responses(&fields, &tally->baseline);
     return fields.ok;
 }
 
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -40,6 +40,8 @@
 #define Sl_GOSSIP_MAX_BLOCK_KEYS 4 /* of each block */
 #define Sl_GOSSIP_MAX_CLEARED 6
 
+/* Least pace of a response that is reported. */
+#define Sl_GOSSIP_MIN_PACE (-1)
 /* Steps of shares. */
 #define Sl_GOSSIP_SHARE_STEPS 127
 
@@ -72,26 +74,25 @@
                         down to 10 ms when sent; else not used */
 };
 
-/* How a response shows that the version of its upstream is bad. */
-enum sl_symptom {
-    Sl_SYMPTOM_FAILED,
-    Sl_SYMPTOM_SLOW,
-    Sl_SYMPTOM_COUNT,
+/* Recent responses of one version or of several. Their numbers are in tenths
+ * of a response: old ones count in part. */
+struct sl_gossip_responses {
+    uint16_t count;
+    uint16_t failed;
+    uint16_t timed; /* those whose usual time is known */
+    uint16_t slow;  /* those of them that took several times as long */
+    /* Mean of the pace and of its square; both in thousandths, the pace from
+     * Sl_GOSSIP_MIN_PACE on. */
+    uint16_t mean_pace;
+    uint16_t mean_square;
 };
 
-/* Number of responses, in tenths of a response: old ones count in part. */
-struct sl_gossip_symptom {
-    uint16_t responses; /* in which the symptom could have shown */
-    uint16_t bad;       /* those of them in which it did */
-};
-
-/* Recent responses on one route, by symptom. */
+/* Responses on one route. */
 struct sl_gossip_tally {
-    uint32_t route; /* hash of its name */
-    /* At the version that the roll-out introduces. */
-    struct sl_gossip_symptom target[Sl_SYMPTOM_COUNT];
-    /* At the versions that it replaces. */
-    struct sl_gossip_symptom baseline[Sl_SYMPTOM_COUNT];
+    uint32_t route;                      /* hash of its name */
+    struct sl_gossip_responses target;   /* the version that the roll-out
+                                            introduces */
+    struct sl_gossip_responses baseline; /* the versions that it replaces */
 };
 
 /* The sender's calls to the service of a roll-out since it read the order. */
@@ -191,8 +192,8 @@
 
 /* ---- 2. Codec --------------------------------------------------------- */
 
-/* Appends the encoded digest to `out`. Items of the quarantine, loads, and
- * then sessions that do not fit into Sl_GOSSIP_MAX_BYTES are left out. */
+/* Appends the encoded digest to `out`. Tallies, items of the quarantine, loads
+ * and then sessions that do not fit into Sl_GOSSIP_MAX_BYTES are left out. */
 void SlGossip_Encode(const struct sl_gossip_digest *digest,
                      struct sl_buf *out);
 /* Decodes one datagram. Returns Sl_OK; or Sl_ERR_INVALID, with the reason in
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -76,12 +76,6 @@
     }
 }
 
-/* A response is slow, which counts against its version, if its head takes
- * longer than SLOW_FACTOR times the usual time plus SLOW_EXTRA. The latter is
- * for short times, which vary by more than the factor. */
-#define Sl_SLOW_FACTOR 3
-#define Sl_SLOW_EXTRA_US (50 * Sl_US_PER_MS)
-
 /* Returns the usual time to the head of the response. Returns 0 if it is not
  * known, or if the upstream's load or cold start influences this response. */
 static int64_t
@@ -119,15 +113,24 @@
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
-/* Updates the usual time to the head of responses of a plain service. During a
- * roll-out, only baseline versions count. */
+/* Updates the usual time to the head of responses: of the model if the
+ * upstream is an engine, else of the route. During a roll-out, only baseline
+ * versions count: a slower target would pass as usual. */
 static void
 learn_usual_time(struct sl_router *router,
                  const struct sl_routed_request *request, int64_t took_us)
 {
-    if (!request->upstream_call.was_cold &&
-        (request->upstream_call.at_baseline ||
-         !SlRollouts_IsRunning(router, &request->service->name))) {
+    const struct sl_upstream_call *call = &request->upstream_call;
+    if (!call->at_baseline &&
+        SlRollouts_IsRunning(router, &request->service->name)) {
+        return;
+    }
+    if (request->service->is_engine && call->was_idle) {
+        struct sl_name model = {0};
+        (void)SlName_Set(&model, SlRoutedRequest_Model(request));
+        SlLatency_LearnPrefill(router, &model, call->uncached_tokens, took_us);
+    }
+    if (!request->service->is_engine && !call->was_cold) {
         SlLatency_LearnRouteHead(router, &request->route->name, took_us);
     }
 }
@@ -145,20 +148,11 @@
         return;
     }
     bool failed = call->head.status >= 500;
-    struct sl_response_symptoms symptoms = {
-        .failed = failed,
-        .is_timed = usual_us > 0 && !failed,
-        .slow = took_us > Sl_SLOW_FACTOR * usual_us + Sl_SLOW_EXTRA_US,
-    };
-    SlRollouts_OnResponse(router, request, &symptoms);
-    if (!request->service->is_engine && !failed) {
+    struct sl_response_evidence response = {failed, took_us, usual_us};
+    SlRollouts_OnResponse(router, request, &response);
+    if (!failed) {
         learn_usual_time(router, request, took_us);
     }
-    if (request->service->is_engine && call->was_idle && !failed) {
-        struct sl_name model = {0};
-        (void)SlName_Set(&model, SlRoutedRequest_Model(request));
-        SlLatency_LearnPrefill(router, &model, call->uncached_tokens, took_us);
-    }
 }
 
 /* Decides whether to discard the response, so that a larger model responds
--- a/lib/router/sl_rollout_evidence.c
+++ b/lib/router/sl_rollout_evidence.c
@@ -3,9 +3,13 @@
  * replaces, the baseline.
  *
  * Responses are counted by route, since some versions are bad on one route
- * only, and by symptom, since the usual rates of failed and of slow responses
- * differ. The target's counts decay, so that a version that turns bad late is
- * found: its newest responses outweigh the earlier, good ones.
+ * only. Failed responses are compared by their rate. The times to the head are
+ * compared with the usual ones in two ways. The rate of responses that take
+ * several times as long shows a version that is slow now and then; the mean
+ * pace, the logarithm of the time over the usual one, shows one that is always
+ * moderately slower, within the few responses that a canary gets. The target's
+ * counts decay, so that a version that turns bad late is found: its newest
+ * responses outweigh the earlier, good ones.
  */
 #include "sl_router_internal.h"
 
@@ -13,57 +17,121 @@
 
 /* Half-life of the target's counts. */
 #define Sl_HALF_LIFE_US (4 * Sl_US_PER_S)
-/* Number of the newest responses of baseline versions that count, per router,
- * route and symptom. They do not decay: the reference must last after the
- * target has got all traffic. With this many, the rate of bad responses is
- * known to 3 percentage points. */
+/* Number of the newest responses of baseline versions that count, per router
+ * and route. They do not decay: the reference must last after the target has
+ * got all traffic. With this many, the rate of bad responses is known to 3
+ * percentage points. */
 #define Sl_MAX_BASELINE_RESPONSES 100.0
-/* Least figures at which the target counts as worse. A roll-out is evaluated
- * some 20 times on independent counts: at 2.6 standard deviations, one good
- * version in 11 is rolled back by chance. Failures need more, since they come
- * in pairs: a request that fails at every upstream is sent again by its
- * client. */
-static const struct {
+
+/* Least figures at which a rate of bad responses counts as higher than the
+ * baseline's. A roll-out is evaluated some 20 times on independent counts: at
+ * 2.6 standard deviations, one good version in 11 is rolled back by chance.
+ * Failures need more, since they come in pairs: a request that fails at every
+ * upstream is sent again by its client. */
+struct sl_rate_thresholds {
     double min_bad;    /* bad responses of the target */
-    double min_sigmas; /* significance of the difference from the baseline, in
-                          standard deviations */
-} thresholds[Sl_SYMPTOM_COUNT] = {
-    [Sl_SYMPTOM_FAILED] = {4, 3},
-    [Sl_SYMPTOM_SLOW] = {2.5, 2.6},
+    double min_sigmas; /* significance of the difference, in standard
+                          deviations */
 };
+static const struct sl_rate_thresholds failed_thresholds = {4, 3};
+static const struct sl_rate_thresholds slow_thresholds = {2.5, 2.6};
 /* Least difference of the rates of bad responses. Slow or restarting upstreams
  * cause smaller ones for a good version, too. */
 #define Sl_MIN_BAD_RATE_EXCESS 0.1
 /* Prior of the baseline's rate of bad responses: number of responses that are
- * added to the counted ones. */
+ * added to the counted ones, and share of those that are bad. */
 #define Sl_PRIOR_RESPONSES 4.0
-/* Share of those that are bad. */
 #define Sl_PRIOR_BAD_SHARE 0.1
-/* Counts in reports are in tenths of a response. */
+
+/* A response is slow if its head takes longer than SLOW_FACTOR times the usual
+ * time plus SLOW_EXTRA. The latter is for short times, which vary by more than
+ * the factor. */
+#define Sl_SLOW_FACTOR 3
+#define Sl_SLOW_EXTRA_US (50 * Sl_US_PER_MS)
+
+/* Least figures at which the target counts as slower: timed responses;
+ * significance of the difference of the mean pace, in standard errors; and
+ * that difference, the logarithm of 1.3. A roll-out is evaluated some 20 times
+ * on independent counts, on several routes. */
+#define Sl_MIN_TIMED 2.5
+#define Sl_MIN_PACE_SIGMAS 3.5
+#define Sl_MIN_PACE_EXCESS 0.26
+/* Added to both times of a pace, in which short times vary by more than a
+ * factor. */
+#define Sl_PACE_OFFSET_US (20 * Sl_US_PER_MS)
+/* Largest pace: a single response that was held up does not outweigh all
+ * others. */
+#define Sl_MAX_PACE 2.5
+/* Prior of the baseline's pace: this many responses of mean 0. */
+#define Sl_PRIOR_TIMED 4.0
+#define Sl_PRIOR_PACE_VARIANCE 0.25
+/* Least variance of the pace: the few responses of a canary may agree by
+ * chance. */
+#define Sl_MIN_PACE_VARIANCE 0.04
+
+/* Units of reports: tenths of a response, thousandths of a pace. */
 #define Sl_REPORT_UNITS_PER_RESPONSE 10
+#define Sl_REPORT_UNITS_PER_PACE 1000
 
 /* ---- counts ---- */
 
 static void
-decay_counts(struct sl_symptom_count *counts, double factor)
+scale_tally(struct sl_response_tally *tally, double factor)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        counts[i].responses *= factor;
-        counts[i].bad *= factor;
-    }
+    tally->count *= factor;
+    tally->failed *= factor;
+    tally->timed *= factor;
+    tally->slow *= factor;
+    tally->pace *= factor;
+    tally->pace_squares *= factor;
+}
+
+static void
+add_tally(struct sl_response_tally *sum, const struct sl_response_tally *tally)
+{
+    sum->count += tally->count;
+    sum->failed += tally->failed;
+    sum->timed += tally->timed;
+    sum->slow += tally->slow;
+    sum->pace += tally->pace;
+    sum->pace_squares += tally->pace_squares;
+}
+
+/* Returns the factor that makes room for one more response of the baseline. */
+static double
+factor_for_newest(double responses)
+{
+    return responses >= Sl_MAX_BASELINE_RESPONSES ? 1 - 1 / responses : 1;
 }
 
 void
-SlRolloutEvidence_CountResponse(struct sl_symptom_count *counts, bool bad,
+SlRolloutEvidence_CountResponse(struct sl_response_tally *tally, bool failed,
                                 bool is_baseline)
 {
-    /* Removes one average response before the newest is added. */
-    if (is_baseline && counts->responses >= Sl_MAX_BASELINE_RESPONSES) {
-        counts->bad *= 1 - 1 / counts->responses;
-        counts->responses -= 1;
-    }
-    counts->responses += 1;
-    counts->bad += bad ? 1 : 0;
+    double factor = is_baseline ? factor_for_newest(tally->count) : 1;
+    tally->count = tally->count * factor + 1;
+    tally->failed = tally->failed * factor + (failed ? 1 : 0);
+}
+
+static double
+pace_of(int64_t took_us, int64_t usual_us)
+{
+    double ratio = (double)(took_us + Sl_PACE_OFFSET_US) /
+                   (double)(usual_us + Sl_PACE_OFFSET_US);
+    return CLAMP(log(ratio), Sl_GOSSIP_MIN_PACE, Sl_MAX_PACE);
+}
+
+void
+SlRolloutEvidence_CountTime(struct sl_response_tally *tally, int64_t took_us,
+                            int64_t usual_us, bool is_baseline)
+{
+    double factor = is_baseline ? factor_for_newest(tally->timed) : 1;
+    double pace = pace_of(took_us, usual_us);
+    bool is_slow = took_us > Sl_SLOW_FACTOR * usual_us + Sl_SLOW_EXTRA_US;
+    tally->timed = tally->timed * factor + 1;
+    tally->slow = tally->slow * factor + (is_slow ? 1 : 0);
+    tally->pace = tally->pace * factor + pace;
+    tally->pace_squares = tally->pace_squares * factor + pace * pace;
 }
 
 void
@@ -72,7 +140,7 @@
     int64_t age_us = now_us - evidence->decayed_until_us;
     double factor = exp2(-(double)age_us / (double)Sl_HALF_LIFE_US);
     for (size_t i = 0; i < evidence->count; i++) {
-        decay_counts(evidence->routes[i].target, factor);
+        scale_tally(&evidence->routes[i].target, factor);
     }
     evidence->decayed_until_us = now_us;
 }
@@ -99,16 +167,21 @@
 
 /* ---- peers ---- */
 
-/* Adds the counts of a report to `counts`. */
-static void
-add_reported_counts(struct sl_symptom_count *counts,
-                    const struct sl_gossip_symptom *report)
+static struct sl_response_tally
+tally_of_report(const struct sl_gossip_responses *report)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        counts[i].responses +=
-            (double)report[i].responses / Sl_REPORT_UNITS_PER_RESPONSE;
-        counts[i].bad += (double)report[i].bad / Sl_REPORT_UNITS_PER_RESPONSE;
-    }
+    double timed = (double)report->timed / Sl_REPORT_UNITS_PER_RESPONSE;
+    double mean_pace = (double)report->mean_pace / Sl_REPORT_UNITS_PER_PACE +
+                       Sl_GOSSIP_MIN_PACE;
+    return (struct sl_response_tally){
+        .count = (double)report->count / Sl_REPORT_UNITS_PER_RESPONSE,
+        .failed = (double)report->failed / Sl_REPORT_UNITS_PER_RESPONSE,
+        .timed = timed,
+        .slow = (double)report->slow / Sl_REPORT_UNITS_PER_RESPONSE,
+        .pace = timed * mean_pace,
+        .pace_squares =
+            timed * (double)report->mean_square / Sl_REPORT_UNITS_PER_PACE,
+    };
 }
 
 void
@@ -119,27 +192,38 @@
     for (size_t i = 0; i < report->tally_count; i++) {
         struct sl_route_tally *tally = SlRolloutEvidence_FindOrAddRoute(
             evidence, report->tallies[i].route, now_us);
-        add_reported_counts(tally->target, report->tallies[i].target);
-        add_reported_counts(tally->baseline, report->tallies[i].baseline);
+        struct sl_response_tally target =
+            tally_of_report(&report->tallies[i].target);
+        struct sl_response_tally baseline =
+            tally_of_report(&report->tallies[i].baseline);
+        add_tally(&tally->target, &target);
+        add_tally(&tally->baseline, &baseline);
     }
 }
 
 static uint16_t
-to_report_units(double count)
+to_report_units(double value, double units)
 {
-    return (uint16_t)CLAMP(count * Sl_REPORT_UNITS_PER_RESPONSE + 0.5, 0,
-                           UINT16_MAX);
+    return (uint16_t)CLAMP(value * units + 0.5, 0, UINT16_MAX);
 }
 
-/* Writes `counts` to a report. */
-static void
-set_reported_counts(const struct sl_symptom_count *counts,
-                    struct sl_gossip_symptom *report)
+static struct sl_gossip_responses
+report_of_tally(const struct sl_response_tally *tally)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        report[i].responses = to_report_units(counts[i].responses);
-        report[i].bad = to_report_units(counts[i].bad);
+    struct sl_gossip_responses report = {
+        .count = to_report_units(tally->count, Sl_REPORT_UNITS_PER_RESPONSE),
+        .failed = to_report_units(tally->failed, Sl_REPORT_UNITS_PER_RESPONSE),
+        .timed = to_report_units(tally->timed, Sl_REPORT_UNITS_PER_RESPONSE),
+        .slow = to_report_units(tally->slow, Sl_REPORT_UNITS_PER_RESPONSE),
+    };
+    if (tally->timed > 0) {
+        report.mean_pace =
+            to_report_units(tally->pace / tally->timed - Sl_GOSSIP_MIN_PACE,
+                            Sl_REPORT_UNITS_PER_PACE);
+        report.mean_square = to_report_units(
+            tally->pace_squares / tally->timed, Sl_REPORT_UNITS_PER_PACE);
     }
+    return report;
 }
 
 void
@@ -150,10 +234,10 @@
     report->tally_count = evidence->count;
     for (size_t i = 0; i < evidence->count; i++) {
         report->tallies[i].route = evidence->routes[i].route;
-        set_reported_counts(evidence->routes[i].target,
-                            report->tallies[i].target);
-        set_reported_counts(evidence->routes[i].baseline,
-                            report->tallies[i].baseline);
+        report->tallies[i].target =
+            report_of_tally(&evidence->routes[i].target);
+        report->tallies[i].baseline =
+            report_of_tally(&evidence->routes[i].baseline);
     }
 }
 
@@ -167,59 +251,109 @@
     return observed > 0 ? observed * log(observed / expected) : 0;
 }
 
-/* Returns true if the target shows the symptom significantly more often than
+/* Responses of one kind, and those of them that are bad. */
+struct sl_bad_count {
+    double bad;
+    double all;
+};
+
+/* Returns true if the target has bad responses significantly more often than
  * the baseline, by a likelihood-ratio test. Unlike a comparison by standard
  * errors, that test is valid for a handful of responses, too. */
 static bool
-is_worse(const struct sl_route_tally *tally, enum sl_symptom symptom)
-{
-    const struct sl_symptom_count *target = &tally->target[symptom];
-    const struct sl_symptom_count *baseline = &tally->baseline[symptom];
-    double baseline_samples = baseline->responses + Sl_PRIOR_RESPONSES;
-    double baseline_bad =
-        baseline->bad + Sl_PRIOR_RESPONSES * Sl_PRIOR_BAD_SHARE;
-    if (target->bad < thresholds[symptom].min_bad ||
-        target->bad / target->responses - baseline_bad / baseline_samples <
+is_more_often(struct sl_bad_count target, struct sl_bad_count baseline,
+              const struct sl_rate_thresholds *thresholds)
+{
+    baseline.all += Sl_PRIOR_RESPONSES;
+    baseline.bad += Sl_PRIOR_RESPONSES * Sl_PRIOR_BAD_SHARE;
+    if (target.bad < thresholds->min_bad ||
+        target.bad / target.all - baseline.bad / baseline.all <
             Sl_MIN_BAD_RATE_EXCESS) {
         return false;
     }
-    double bad_rate = /* of both together */
-        (target->bad + baseline_bad) / (target->responses + baseline_samples);
+    double rate = /* of both together */
+        (target.bad + baseline.bad) / (target.all + baseline.all);
     double log_ratio =
-        likelihood_term(target->bad, target->responses * bad_rate) +
-        likelihood_term(target->responses - target->bad,
-                        target->responses * (1 - bad_rate)) +
-        likelihood_term(baseline_bad, baseline_samples * bad_rate) +
-        likelihood_term(baseline_samples - baseline_bad,
-                        baseline_samples * (1 - bad_rate));
-    return sqrt(2 * log_ratio) >= thresholds[symptom].min_sigmas;
+        likelihood_term(target.bad, target.all * rate) +
+        likelihood_term(target.all - target.bad, target.all * (1 - rate)) +
+        likelihood_term(baseline.bad, baseline.all * rate) +
+        likelihood_term(baseline.all - baseline.bad,
+                        baseline.all * (1 - rate));
+    return sqrt(2 * log_ratio) >= thresholds->min_sigmas;
 }
 
-/* Returns true if the target is worse by some symptom, and then fills in
- * `verdict`. */
 static bool
-evaluate_tally(const struct sl_route_tally *tally,
-               struct sl_rollout_verdict *verdict)
+fails_more_often(const struct sl_route_tally *tally)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        if (is_worse(tally, (enum sl_symptom)i)) {
-            verdict->is_worse = true;
-            verdict->symptom = (enum sl_symptom)i;
-            verdict->target = tally->target[i];
-            verdict->baseline = tally->baseline[i];
-            return true;
-        }
+    return is_more_often(
+        (struct sl_bad_count){tally->target.failed, tally->target.count},
+        (struct sl_bad_count){tally->baseline.failed, tally->baseline.count},
+        &failed_thresholds);
+}
+
+static bool
+is_slow_more_often(const struct sl_route_tally *tally)
+{
+    return is_more_often(
+        (struct sl_bad_count){tally->target.slow, tally->target.timed},
+        (struct sl_bad_count){tally->baseline.slow, tally->baseline.timed},
+        &slow_thresholds);
+}
+
+/* Mean of the pace, and the square of its standard error. */
+struct sl_pace_estimate {
+    double mean;
+    double variance;       /* of one response */
+    double error_variance; /* of the mean */
+};
+
+static struct sl_pace_estimate
+estimate_pace(const struct sl_response_tally *tally, double min_variance)
+{
+    double mean = tally->pace / tally->timed;
+    double variance =
+        MAX(tally->pace_squares / tally->timed - mean * mean, min_variance);
+    return (struct sl_pace_estimate){mean, variance, variance / tally->timed};
+}
+
+/* Returns true if the target's responses take significantly longer than the
+ * baseline's, compared with the usual times. */
+static bool
+has_slower_pace(const struct sl_route_tally *tally)
+{
+    struct sl_response_tally baseline = tally->baseline;
+    baseline.timed += Sl_PRIOR_TIMED;
+    baseline.pace_squares += Sl_PRIOR_TIMED * Sl_PRIOR_PACE_VARIANCE;
+    if (tally->target.timed < Sl_MIN_TIMED) {
+        return false;
     }
-    return false;
+    struct sl_pace_estimate usual =
+        estimate_pace(&baseline, Sl_MIN_PACE_VARIANCE);
+    struct sl_pace_estimate target =
+        estimate_pace(&tally->target, usual.variance);
+    double excess = target.mean - usual.mean;
+    return excess >= Sl_MIN_PACE_EXCESS &&
+           excess >= Sl_MIN_PACE_SIGMAS *
+                         sqrt(target.error_variance + usual.error_variance);
 }
 
-static void
-add_counts(struct sl_symptom_count *sum, const struct sl_symptom_count *counts)
+/* Returns true if the target is worse by some symptom, and then fills in
+ * `verdict`. */
+static bool
+evaluate_tally(const struct sl_route_tally *tally,
+               struct sl_rollout_verdict *verdict)
 {
-    for (size_t i = 0; i < Sl_SYMPTOM_COUNT; i++) {
-        sum[i].responses += counts[i].responses;
-        sum[i].bad += counts[i].bad;
+    bool fails = fails_more_often(tally);
+    if (!fails && !is_slow_more_often(tally) && !has_slower_pace(tally)) {
+        return false;
     }
+    *verdict = (struct sl_rollout_verdict){
+        .is_worse = true,
+        .symptom = fails ? Sl_SYMPTOM_FAILED : Sl_SYMPTOM_SLOW,
+        .target = tally->target,
+        .baseline = tally->baseline,
+    };
+    return true;
 }
 
 struct sl_rollout_verdict
@@ -231,8 +365,8 @@
         if (evaluate_tally(&evidence->routes[i], &verdict)) {
             return verdict;
         }
-        add_counts(all.target, evidence->routes[i].target);
-        add_counts(all.baseline, evidence->routes[i].baseline);
+        add_tally(&all.target, &evidence->routes[i].target);
+        add_tally(&all.baseline, &evidence->routes[i].baseline);
     }
     (void)evaluate_tally(&all, &verdict);
     return verdict;
@@ -243,7 +377,7 @@
 {
     double sum = 0;
     for (size_t i = 0; i < evidence->count; i++) {
-        sum += evidence->routes[i].target[Sl_SYMPTOM_FAILED].responses;
+        sum += evidence->routes[i].target.count;
     }
     return sum;
 }
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -19,6 +19,7 @@
  */
 #include "sl_router_internal.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Part of the order's time after which the ramp may begin. Before that, active
@@ -274,7 +275,7 @@
 void
 SlRollouts_OnResponse(struct sl_router *router,
                       struct sl_routed_request *request,
-                      const struct sl_response_symptoms *symptoms)
+                      const struct sl_response_evidence *response)
 {
     struct sl_rollout *rollout =
         SlRollouts_Find(router, &request->service->name);
@@ -286,17 +287,16 @@
     struct sl_route_tally *tally = SlRolloutEvidence_FindOrAddRoute(
         &rollout->evidence, route, router->now_us);
     bool at_baseline = request->upstream_call.at_baseline;
-    struct sl_symptom_count *counts =
-        at_baseline ? tally->baseline : tally->target;
+    struct sl_response_tally *side =
+        at_baseline ? &tally->baseline : &tally->target;
     /* A request that fails at every upstream counts once, not per attempt. */
     if (!request->counted_as_evidence) {
-        SlRolloutEvidence_CountResponse(&counts[Sl_SYMPTOM_FAILED],
-                                        symptoms->failed, at_baseline);
+        SlRolloutEvidence_CountResponse(side, response->failed, at_baseline);
     }
     request->counted_as_evidence = true;
-    if (symptoms->is_timed) {
-        SlRolloutEvidence_CountResponse(&counts[Sl_SYMPTOM_SLOW],
-                                        symptoms->slow, at_baseline);
+    if (response->usual_us > 0 && !response->failed) {
+        SlRolloutEvidence_CountTime(side, response->took_us,
+                                    response->usual_us, at_baseline);
     }
 }
 
@@ -334,6 +334,37 @@
     SlRollouts_BeginLog(router, rollout, "rollout_suspect");
 }
 
+/* Returns the time to the head of the responses in percent of the usual one,
+ * as a geometric mean; 100 without a timed one. */
+static int64_t
+pace_percent(const struct sl_response_tally *tally)
+{
+    return lround(100 *
+                  (tally->timed > 0 ? exp(tally->pace / tally->timed) : 1));
+}
+
+static void
+log_verdict(struct sl_router *router, const struct sl_rollout_verdict *verdict)
+{
+    const struct sl_response_tally *target = &verdict->target;
+    const struct sl_response_tally *baseline = &verdict->baseline;
+    if (verdict->symptom == Sl_SYMPTOM_FAILED) {
+        SlLogLine_C(router, "sign", "failed");
+        SlLogLine_Int(router, "target_answers", (int64_t)target->count);
+        SlLogLine_Int(router, "target_bad", (int64_t)target->failed);
+        SlLogLine_Int(router, "base_answers", (int64_t)baseline->count);
+        SlLogLine_Int(router, "base_bad", (int64_t)baseline->failed);
+        return;
+    }
+    SlLogLine_C(router, "sign", "slow");
+    SlLogLine_Int(router, "target_answers", (int64_t)target->timed);
+    SlLogLine_Int(router, "target_bad", (int64_t)target->slow);
+    SlLogLine_Int(router, "target_pace_percent", pace_percent(target));
+    SlLogLine_Int(router, "base_answers", (int64_t)baseline->timed);
+    SlLogLine_Int(router, "base_bad", (int64_t)baseline->slow);
+    SlLogLine_Int(router, "base_pace_percent", pace_percent(baseline));
+}
+
 /* Compares the target with the baseline by the responses at all routers, and
  * marks the target as bad if it is worse. */
 static void
@@ -357,12 +388,7 @@
         return;
     }
     set_suspect(router, rollout);
-    SlLogLine_C(router, "sign",
-                verdict.symptom == Sl_SYMPTOM_SLOW ? "slow" : "failed");
-    SlLogLine_Int(router, "target_answers", (int64_t)verdict.target.responses);
-    SlLogLine_Int(router, "target_bad", (int64_t)verdict.target.bad);
-    SlLogLine_Int(router, "base_answers", (int64_t)verdict.baseline.responses);
-    SlLogLine_Int(router, "base_bad", (int64_t)verdict.baseline.bad);
+    log_verdict(router, &verdict);
     SlLogLine_End(router, Sl_LOG_WARN);
 }
 
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -196,18 +196,28 @@
 
 /* ---- roll-outs ---- */
 
-/* Responses that could show a symptom of a bad version, and those that did.
- * Counts that decay are not whole numbers. */
-struct sl_symptom_count {
-    double responses;
-    double bad;
+/* How a version shows that it is bad. */
+enum sl_symptom {
+    Sl_SYMPTOM_FAILED,
+    Sl_SYMPTOM_SLOW,
+};
+
+/* Responses of one version or of several. Counts that decay are not whole
+ * numbers. */
+struct sl_response_tally {
+    double count;
+    double failed;
+    double timed; /* responses whose usual time is known */
+    double slow;  /* those of them that took several times as long */
+    double pace;  /* sum over the timed ones */
+    double pace_squares;
 };
 
 /* Responses on one route. */
 struct sl_route_tally {
     uint32_t route; /* hash of its name */
-    struct sl_symptom_count target[Sl_SYMPTOM_COUNT];
-    struct sl_symptom_count baseline[Sl_SYMPTOM_COUNT];
+    struct sl_response_tally target;
+    struct sl_response_tally baseline;
 };
 
 /* Routes on which responses are counted at most, per roll-out. */
@@ -221,20 +231,20 @@
     struct sl_route_tally routes[Sl_MAX_ROUTE_TALLIES];
 };
 
-/* Symptoms of a bad version in one response. */
-struct sl_response_symptoms {
+/* What one response tells of its version. */
+struct sl_response_evidence {
     bool failed;
-    bool is_timed; /* its usual time is known, so that `slow` has a meaning */
-    bool slow;
+    int64_t took_us;  /* from the request to the head */
+    int64_t usual_us; /* that time as usual; 0: not known */
 };
 
 /* Whether the target is worse than the baseline. If so, also the symptom that
- * shows this, and its counts. */
+ * shows this, and the responses. */
 struct sl_rollout_verdict {
     bool is_worse;
     enum sl_symptom symptom;
-    struct sl_symptom_count target;
-    struct sl_symptom_count baseline;
+    struct sl_response_tally target;
+    struct sl_response_tally baseline;
 };
 
 struct sl_rollout {
@@ -946,7 +956,7 @@
 /* Counts a response that the upstream itself has produced as evidence. */
 void SlRollouts_OnResponse(struct sl_router *router,
                            struct sl_routed_request *request,
-                           const struct sl_response_symptoms *symptoms);
+                           const struct sl_response_evidence *response);
 void SlRollouts_Free(gpointer rollout);
 /* Returns true while a roll-out of the service is under way. */
 bool SlRollouts_IsRunning(const struct sl_router *router,
@@ -1039,8 +1049,12 @@
                              int64_t now_us);
 /* Counts one response. Of baseline versions, only a bounded number of the
  * newest responses count. */
-void SlRolloutEvidence_CountResponse(struct sl_symptom_count *counts, bool bad,
-                                     bool is_baseline);
+void SlRolloutEvidence_CountResponse(struct sl_response_tally *tally,
+                                     bool failed, bool is_baseline);
+/* Counts the time to its head, compared with the usual one. */
+void SlRolloutEvidence_CountTime(struct sl_response_tally *tally,
+                                 int64_t took_us, int64_t usual_us,
+                                 bool is_baseline);
 /* Adds the counts in a peer's report. */
 void SlRolloutEvidence_AddReport(struct sl_rollout_evidence *evidence,
                                  const struct sl_gossip_rollout *report,
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -30,7 +30,7 @@
     digest->rollouts[0].elapsed_ms = 900;
     digest->rollouts[0].tally_count = 1;
     digest->rollouts[0].tallies[0] = {
-        1, {{20, 10}, {7, 0}}, {{300, 5}, {65535, 1}}};
+        1, {20, 10, 7, 6, 1003, 1}, {300, 5, 65535, 2, 1, 12250}};
     digest->rollouts[0].session_count = 2;
     digest->rollouts[0].sessions[1] = 42;
     struct sl_gossip_quarantine &quarantine = digest->quarantine;
@@ -75,14 +75,13 @@
     EXPECT_EQ(decoded->loads[0].upstream, 0xffffffffu);
     EXPECT_EQ(decoded->loads[0].backlog_ms, 250u);
     ASSERT_EQ(decoded->rollout_count, 1u);
-    EXPECT_EQ(decoded->rollouts[0].tallies[0].target[Sl_SYMPTOM_FAILED].bad,
-              10u);
-    EXPECT_EQ(
-        decoded->rollouts[0].tallies[0].baseline[Sl_SYMPTOM_FAILED].responses,
-        300u);
-    EXPECT_EQ(
-        decoded->rollouts[0].tallies[0].baseline[Sl_SYMPTOM_SLOW].responses,
-        65535u);
+    const struct sl_gossip_tally &tally = decoded->rollouts[0].tallies[0];
+    EXPECT_EQ(tally.target.failed, 10u);
+    EXPECT_EQ(tally.target.slow, 6u);
+    EXPECT_EQ(tally.target.mean_pace, 1003u);
+    EXPECT_EQ(tally.baseline.count, 300u);
+    EXPECT_EQ(tally.baseline.timed, 65535u);
+    EXPECT_EQ(tally.baseline.mean_square, 12250u);
     EXPECT_EQ(decoded->rollouts[0].sessions[1], 42u);
     const struct sl_gossip_quarantine &quarantine = decoded->quarantine;
     ASSERT_EQ(quarantine.end_count, 1u);
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -729,11 +729,10 @@
                 rollout.tally_count = 1;
                 struct sl_gossip_tally &tally = rollout.tallies[0];
                 tally.route = 1;
-                tally.target[Sl_SYMPTOM_FAILED] = {in_tenths(args, "answers"),
-                                                   in_tenths(args, "bad")};
-                tally.baseline[Sl_SYMPTOM_FAILED] = {
-                    in_tenths(args, "base-answers"),
-                    in_tenths(args, "base-bad")};
+                tally.target.count = in_tenths(args, "answers");
+                tally.target.failed = in_tenths(args, "bad");
+                tally.baseline.count = in_tenths(args, "base-answers");
+                tally.baseline.failed = in_tenths(args, "base-bad");
             }
         }
         add_quarantine(args, &digest->quarantine);
