--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -165,6 +165,29 @@
     EXPECT_EQ(request.last_event, -1);
 }
 
+// Of a request, and of a response.
+TEST_F(PlatformHeaders, NumbersThatOverflowCountAsAbsent)
+{
+    struct sl_incoming_request request;
+    struct sl_response_head response;
+    for (const char *number :
+         {"900000000000000000", "92233720368547758", "1000000000000000",
+          "9999999999999999999999999999"}) {
+        std::string load = std::string(number) + ",0,1";
+        head = {};
+        add_header(&head, "Sassafrasledge-Deadline-Ms", number);
+        add_header(&head, "Sassafrasledge-Token-Count", number);
+        add_header(&head, "Sassafrasledge-Runner-Load", load.c_str());
+        add_header(&head, "Sassafrasledge-Cold-Ms", number);
+        SlPlatform_DecodeRequest(&head, Sl_STR(""), &forwarded, &request);
+        SlPlatform_DecodeResponse(&head, &forwarded, &response);
+        EXPECT_EQ(request.deadline_us, 0) << number;
+        EXPECT_EQ(request.prompt_tokens, 0) << number;
+        EXPECT_FALSE(response.has_load) << number;
+        EXPECT_EQ(response.cold_us, -1) << number;
+    }
+}
+
 TEST_F(PlatformHeaders, EncodesUpstreamRequest)
 {
     struct sl_router_effect_call call = {};
