platform: registrations with an unusable address or too many slots are unreadable

Cause: an entry with a port out of range was taken as an upstream, to which every call fails; and Slots near 2^63 overflowed where placement doubles them (undefined; the upstream then always counted as full). Ruled out: nesting and numbers beyond 64 bits or beyond a double. The JSON parser refuses them (depth 2,048), the record is counted as unreadable, and the feed goes on; the test shows it.

--- a/lib/net/sl_http_client.c
+++ b/lib/net/sl_http_client.c
@@ -528,6 +528,13 @@
     return call->id;
 }
 
+bool
+SlHttpClient_IsAddress(struct sl_str address)
+{
+    struct sockaddr_in parsed;
+    return SlSocket_ParseAddress(address, &parsed);
+}
+
 void
 SlHttpClient_Cancel(struct sl_http_client *client, uint64_t id)
 {
--- a/lib/net/sl_net.h
+++ b/lib/net/sl_net.h
@@ -213,6 +213,9 @@
  * before this function returns: all errors are reported by `on_done`. */
 uint64_t SlHttpClient_Call(struct sl_http_client *client,
                            const struct sl_http_client_call_options *options);
+/* Returns true if calls can be sent to the address: it is "IP:PORT" with an
+ * IPv4 address. */
+bool SlHttpClient_IsAddress(struct sl_str address);
 /* Closes the call's connection. None of the call's handlers runs after this.
  * Unknown handles are ignored. */
 void SlHttpClient_Cancel(struct sl_http_client *client, uint64_t call);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -424,6 +424,53 @@
     EXPECT_TRUE(record.dropped);
 }
 
+// Runs on each of them; the entry names no upstream to use.
+TEST_F(PlatformRecords, OddRegistrationsAreUnreadable)
+{
+    const std::string valid_json =
+        R"({"Service":"llm","Address":"10.0.0.1:80","Zone":"z",
+        "Version":"v1","Slots":64,"State":"ready","Sequence":4})";
+    const std::string many_digits(400, '9');
+    const std::vector<std::pair<std::string, std::string>> changes = {
+        {"\"z\"", std::string(100000, '[')},
+        {"\"z\"", std::string(1000, '[') + std::string(1000, ']')},
+        {"\"ready\"", "\"ready\",\"x\":" + std::string(100000, '[') +
+                          std::string(100000, ']')},
+        {"64", many_digits},
+        {"64", "9223372036854775808"},
+        {"64", "9223372036854775807"},
+        {"64", "1e400"},
+        {"64", "-1"},
+        {"4}", many_digits + "}"},
+        {"4}", "1e308}"},
+        {":80", ":65536"},
+        {":80", ":0"},
+        {":80", ":-1"},
+        {":80", ":" + many_digits},
+        {":80", ":"},
+        {":80", ":80x"},
+        {":80", ""},
+        {"10.0.0.1", "10.0.0.256"},
+        {"10.0.0.1", ""},
+    };
+    for (const auto &[part, odd] : changes) {
+        EXPECT_NE(decode_error(Sl_FEED_UPSTREAMS, "i-1",
+                               replace_once(valid_json, part, odd)),
+                  "ok")
+            << part << " as " << odd.substr(0, 30);
+    }
+    for (const std::string &odd :
+         {std::string("1e308"), many_digits + ".0", std::string("-9e18")}) {
+        decode(Sl_FEED_UPSTREAMS, "i-1",
+               replace_once(valid_json, "4}",
+                            "4,\"ColdLeftMs\":" + odd + ",\"born\":" + odd +
+                                "}"));
+        if (record.type == Sl_RECORD_UPSTREAM) {
+            EXPECT_EQ(record.u.upstream.cold_us, 0) << odd.substr(0, 30);
+        }
+    }
+}
+
 TEST_F(PlatformRecords, DecodesOrders)
 {
     decode(Sl_FEED_OPERATORS, "rollout/llm",
