rollouts: tell peers of a verdict at once

Cause: a verdict went out with the next regular digest, up to a gossip interval later; the first writer of the status decides. Why this works: the digest leaves at once, by the way that evidence against prompts takes: the router's domain or its fan-out tree, and the leaders of the others.

--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -324,13 +324,16 @@
     return is_fresh ? newest_report_of(peer, rollout) : NULL;
 }
 
-/* Marks the target as bad, so that it gets no more requests. Begins a log
+/* Marks the target as bad, so that it gets no more requests, and tells peers
+ * at once: one that does not know may complete the roll-out. Begins a log
  * line, which the caller ends. */
 static void
-set_suspect(struct sl_router *router, struct sl_rollout *rollout)
+set_suspect(struct sl_router *router, struct sl_rollout *rollout,
+            bool is_own_finding)
 {
     rollout->is_suspect = true;
     router->capacity_changed = true;
+    SlDigests_ScheduleEvidence(router, is_own_finding);
     SlRollouts_BeginLog(router, rollout, "rollout_suspect");
 }
 
@@ -387,7 +390,7 @@
     if (!verdict.is_worse) {
         return;
     }
-    set_suspect(router, rollout);
+    set_suspect(router, rollout, true);
     log_verdict(router, &verdict);
     SlLogLine_End(router, Sl_LOG_WARN);
 }
@@ -644,7 +647,7 @@
 adopt_verdict(struct sl_router *router, struct sl_rollout *rollout,
               const struct sl_name *reporter)
 {
-    set_suspect(router, rollout);
+    set_suspect(router, rollout, false);
     SlLogLine_Name(router, "told_by", reporter);
     SlLogLine_End(router, Sl_LOG_WARN);
 }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1346,7 +1346,8 @@
                     const struct sl_gossip_digest *digest,
                     GPtrArray *recipients);
 
-/* Schedules a digest that spreads new evidence against prompts.
+/* Schedules a digest that spreads new evidence against prompts, or the finding
+ * that a roll-out's target is bad.
  * `is_local`: this router has found it itself. */
 void SlDigests_ScheduleEvidence(struct sl_router *router, bool is_local);
 /* Schedules a digest to the routers that get updates of the store from this
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -45,6 +45,8 @@
     std::function<void(uint64_t, int)> on_reply;
     // A router has refused a request itself, for this reason.
     std::function<void(uint64_t, const std::string &)> on_refusal;
+    // A router has logged a line of these JSON members.
+    std::function<void(size_t, const std::string &)> on_log;
     // The first router pulls records from the second.
     std::function<void(size_t, size_t)> on_pull;
     // The first router gets all records from the second although it has some.
@@ -334,6 +336,11 @@
                 on_reply(effect.u.reply.conn, effect.u.reply.status);
             }
             break;
+        case Sl_ROUTER_EFFECT_LOG:
+            if (on_log) {
+                on_log(router, text(effect.u.line.fields));
+            }
+            break;
         case Sl_ROUTER_EFFECT_APPEND:
             appends.push_back({router, effect.u.append.feed,
                                effect.u.append.token,
--- a/tests/unit/router_rollout_pace.cc
+++ b/tests/unit/router_rollout_pace.cc
@@ -112,6 +112,31 @@
     EXPECT_EQ(roll_out(2.2), Sl_ROLLOUT_ROLLED_BACK);
 }
 
+// A router that has not heard of the verdict may complete the roll-out.
+TEST_P(RolloutPace, VerdictReachesAllRoutersAtOnce)
+{
+    const int64_t two_hops_us = 2 * (25 + Fleet::step_ms) * Sl_US_PER_MS;
+    std::map<size_t, int64_t> known_us; // by router
+    fleet.on_log = [&](size_t router, const std::string &line) {
+        bool is_verdict =
+            line.find("\"rollout_suspect\"") != std::string::npos ||
+            (line.find("\"rollout_status\"") != std::string::npos &&
+             line.find("\"rolled_back\"") != std::string::npos);
+        if (is_verdict) {
+            known_us.insert({router, fleet.now()});
+        }
+    };
+    roll_out(2.2, 24);
+    ASSERT_EQ(known_us.size(), fleet.size());
+    int64_t first_us = INT64_MAX;
+    for (const auto &[router, at_us] : known_us) {
+        first_us = std::min(first_us, at_us);
+    }
+    for (const auto &[router, at_us] : known_us) {
+        EXPECT_LE(at_us - first_us, two_hops_us) << "router " << router;
+    }
+}
+
 TEST_P(RolloutPace, SoundVersionIsCompleted)
 {
     EXPECT_EQ(roll_out(1), Sl_ROLLOUT_COMPLETED);
