adapters: an answer that an upstream sends twice reaches no other call

By the report: a refusal written once more on a kept connection was taken for the answer to a later call, which was then "not run", or ran at a second upstream. Cause, in the form with agents only: a connection was kept after a refusal, so that the same request, tried again there, could meet the copy, whose echo fits; and the connection to a plain service, whose answers name no request, was kept after any answer, so that a copy reached another client's request. Ruled out for routers: every call has a connection of its own, which each simulated router now checks, and the check of an engine only connects; HttpClient.RefusalSentTwiceAnswersNoLaterCallOfItsOwnConnection shows it at the client. Why this works: no later call uses a connection on which a copy can come that it would accept.

--- a/lib/adapters/sl_adapters.h
+++ b/lib/adapters/sl_adapters.h
@@ -189,7 +189,8 @@
     struct sl_str body;
     int64_t priority;   /* engines only */
     int64_t timeout_us; /* without any bytes from the upstream */
-    bool idempotent;    /* may run twice; if false, uses a new connection */
+    bool idempotent;    /* may run twice; if false, uses a new connection, as
+                           all calls to plain services do */
 };
 
 typedef void (*sl_load_done)(void *context, const struct sl_error *err,
--- a/lib/adapters/sl_evhttp_client.c
+++ b/lib/adapters/sl_evhttp_client.c
@@ -273,13 +273,16 @@
     call->on_chunk(call->context, (struct sl_str){bytes, len});
 }
 
-/* Reports whether the peer keeps the connection open after its response. */
+/* Reports whether another request may use the connection: the peer keeps it
+ * open, and its response was no refusal. A faulty peer may send a refusal once
+ * more, which a later call for the same request would take for its own. */
 static bool
-is_persistent(struct evhttp_request *request)
+is_reusable(struct evhttp_request *request)
 {
     const char *value = evhttp_find_header(
         evhttp_request_get_input_headers(request), "Connection");
-    return value == NULL || strcasecmp(value, "close") != 0;
+    return evhttp_request_get_response_code(request) < HTTP_BADREQUEST &&
+           (value == NULL || strcasecmp(value, "close") != 0);
 }
 
 /* The request has ended: with a complete response, or with an error, in which
@@ -309,7 +312,7 @@
     struct evbuffer *input = evhttp_request_get_input_buffer(request);
     response.body.len = evbuffer_get_length(input);
     response.body.ptr = (const char *)evbuffer_pullup(input, -1);
-    if (is_persistent(request)) {
+    if (is_reusable(request)) {
         keep_idle(client, call->address, connection);
     }
     else {
--- a/lib/adapters/sl_upstream.c
+++ b/lib/adapters/sl_upstream.c
@@ -229,7 +229,8 @@
     options.content_type = request->content_type.len > 0 ? type : NULL;
     options.body = request->body;
     options.timeout_us = request->timeout_us;
-    options.fresh_connection = !request->idempotent;
+    /* A plain service does not say which request it answers. */
+    options.fresh_connection = !request->idempotent || !self->is_engine;
     options.on_done = on_done;
     options.on_head = on_head;
     options.on_chunk = on_chunk;
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -457,6 +457,26 @@
     EXPECT_FALSE(second.result.reused);
 }
 
+TEST_F(HttpClient, RefusalSentTwiceAnswersNoLaterCallOfItsOwnConnection)
+{
+    const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\nX-Id: mine\r\n"
+                           "Content-Length: 0\r\n\r\n";
+    call_record refused;
+    call_record answered;
+    call(&refused, true);
+    int first = accept_request();
+    respond(first, refusal);
+    run_until([&] { return refused.done; });
+    EXPECT_EQ(refused.status, 503);
+    call(&answered, true); // the same request once more
+    int second = accept_request();
+    respond(first, refusal);
+    respond(second, ok_response);
+    run_until([&] { return answered.done; });
+    EXPECT_EQ(answered.status, 200);
+    EXPECT_EQ(answered.body, "ok");
+}
+
 TEST_F(HttpClient, ClosesAConnectionWithBytesAfterTheResponse)
 {
     call_record first;
--- a/tests/unit/router_simulation.h
+++ b/tests/unit/router_simulation.h
@@ -233,6 +233,10 @@
             if (effect->type == Sl_ROUTER_EFFECT_HEALTH_CHECK) {
                 add_check(*effect);
             }
+            if (effect->type == Sl_ROUTER_EFFECT_CALL) {
+                // What an upstream sends twice must reach no other call.
+                EXPECT_TRUE(effect->u.call.fresh_connection);
+            }
             if (!handle_read(*effect)) {
                 on_effect(*effect);
             }
