router: a stream that ends inside an event has been broken off

Cause: the end of such a response is the end of its connection, which the client cannot tell from a complete response, and SlResponses_OnDone() did not look at the bytes after the last whole event. Why this works: these bytes show the break. The call counts as broken, so that the stream is resumed, or cut for the client.

--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -450,15 +450,40 @@
                                 "the upstreams are full");
 }
 
+/* Returns true if the response is a stream that ends inside an event: it has
+ * been broken off, although its message is complete. */
+static bool
+ends_inside_event(const struct sl_routed_request *request)
+{
+    const struct sl_upstream_call *call = &request->upstream_call;
+    if (!is_stream(request) || !is_success(&call->head)) {
+        return false;
+    }
+    const struct sl_buf *pending = &call->events.pending;
+    for (size_t i = call->processed_bytes; i < pending->len; i++) {
+        if (pending->ptr[i] != '\n' && pending->ptr[i] != '\r') {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 SlResponses_OnDone(struct sl_router *router, uint64_t token,
                    const struct sl_error *err, bool connected)
 {
     struct sl_routed_request *request = request_of(router, token);
+    struct sl_error broken;
     if (request == NULL) {
         return;
     }
     const struct sl_response_head *head = &request->upstream_call.head;
+    if (err == NULL && ends_inside_event(request)) {
+        (void)SlError_Set(&broken, Sl_ERR_LOST, "upstream.answer", "",
+                          "the stream ends inside an event");
+        err = &broken;
+        connected = true;
+    }
     if (err != NULL) {
         on_failed(router, request, err, connected);
         return;
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -457,6 +457,26 @@
     EXPECT_FALSE(second.result.reused);
 }
 
+TEST_F(HttpClient, ResponseWithoutLengthEndsWithItsConnection)
+{
+    for (bool is_reset : {false, true}) {
+        call_record record;
+        call(&record);
+        int fd = accept_request();
+        respond(fd, "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nabc");
+        run_until([&] { return record.body == "abc"; });
+        EXPECT_FALSE(record.done);
+        if (is_reset) {
+            struct linger at_once = {1, 0};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        }
+        accepted.pop_back();
+        close(fd);
+        run_until([&] { return record.done; });
+        EXPECT_EQ(record.failed, is_reset);
+    }
+}
+
 TEST_F(HttpClient, RefusalSentTwiceAnswersNoLaterCallOfItsOwnConnection)
 {
     const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\nX-Id: mine\r\n"
