adapters: free an idle connection on which bytes arrive

What callers saw: nothing; the agent's memory grew by 1.3 KB with each answer after which the upstream sent more (found by a new test under LeakSanitizer, HttpUpstream.AnswerSentTwiceReachesNoOtherRequest). Cause: evhttp frees a connection marked to be freed on completion when its peer closes it, but not when bytes arrive while it is idle: it then only resets it. Why this works: the connection is freed from the event loop in both cases. Test: HttpUpstream.BytesOnAnIdleConnectionCloseIt, which leaked before under sanitizers. TearDown runs the event loop, so that what is freed later is no leak.

--- a/lib/adapters/sl_evhttp_client.c
+++ b/lib/adapters/sl_evhttp_client.c
@@ -103,22 +103,22 @@
 /* Frees a connection from the event loop, since evhttp still uses it while one
  * of its callbacks runs. */
 static void
-free_connection_later(struct sl_evhttp_client *client,
-                      struct evhttp_connection *connection)
+free_connection_later(struct evhttp_connection *connection)
 {
     const struct timeval now = {0, 0};
-    event_base_once(client->base, -1, EV_TIMEOUT, on_free_connection,
-                    connection, &now);
+    event_base_once(evhttp_connection_get_base(connection), -1, EV_TIMEOUT,
+                    on_free_connection, connection, &now);
 }
 
-/* The peer closed an idle connection. */
+/* evhttp has closed an idle connection, as the peer closed it or sent bytes
+ * that belong to no request. */
 static void
 on_idle_closed(struct evhttp_connection *connection, void *context)
 {
     GQueue *queue = context;
     if (g_queue_remove(queue, connection)) {
         evhttp_connection_set_closecb(connection, NULL, NULL);
-        evhttp_connection_free_on_completion(connection);
+        free_connection_later(connection);
     }
 }
 
@@ -141,7 +141,7 @@
 {
     GQueue *queue = idle_queue(client, address);
     if (queue->length >= Sl_MAX_IDLE_PER_ADDRESS) {
-        free_connection_later(client, connection);
+        free_connection_later(connection);
         return;
     }
     g_queue_push_tail(queue, connection);
@@ -295,7 +295,7 @@
     struct evhttp_connection *connection = call->connection;
     if (call->cancelled) {
         call->connection = NULL;
-        free_connection_later(client, connection);
+        free_connection_later(connection);
         return;
     }
     if (request == NULL || evhttp_request_get_response_code(request) == 0) {
@@ -303,7 +303,7 @@
         if (call->err.code == Sl_OK) {
             set_error(call, Sl_ERR_UNREACHABLE, "connection refused");
         }
-        free_connection_later(client, connection);
+        free_connection_later(connection);
         finish_call(call, NULL);
         return;
     }
@@ -316,7 +316,7 @@
         keep_idle(client, call->address, connection);
     }
     else {
-        free_connection_later(client, connection);
+        free_connection_later(connection);
     }
     finish_call(call, &response);
 }
@@ -472,7 +472,7 @@
     if (evhttp_make_request(call->connection, request,
                             evhttp_command(options->method),
                             options->path) != 0) {
-        free_connection_later(client, call->connection);
+        free_connection_later(call->connection);
         call->connection = NULL;
         fail_later(call);
     }
--- a/tests/unit/adapters_upstream.cc
+++ b/tests/unit/adapters_upstream.cc
@@ -50,6 +50,10 @@
     TearDown() override
     {
         upstream->ops->free(upstream);
+        for (int i = 0; i < 3; i++) { // closes what is to be closed later
+            usleep(1000);
+            event_base_loop(base, EVLOOP_NONBLOCK);
+        }
         SlEvhttpClient_Free(http);
         for (int fd : accepted) {
             close(fd);
@@ -181,6 +185,28 @@
     EXPECT_NE(results[1].code, Sl_ERR_REFUSED);
 }
 
+// Sanitizers check that the connection is freed, too.
+TEST_P(HttpUpstream, BytesOnAnIdleConnectionCloseIt)
+{
+    Result results[2];
+    start_call("r1", &results[0]);
+    int first = accept_within_ms(1000);
+    ASSERT_GE(first, 0);
+    receive(first);
+    respond(first, "200 OK", "data: one\n\ndata: [DONE]\n\n");
+    run_until([&] { return results[0].done; });
+    respond(first, "200 OK", "once more");
+
+    EXPECT_LT(accept_within_ms(50), 0);
+    start_call("r2", &results[1]);
+    int second = accept_within_ms(1000);
+    ASSERT_GE(second, 0);
+    receive(second);
+    respond(second, "200 OK", "data: two\n\ndata: [DONE]\n\n", "r2");
+    run_until([&] { return results[1].done; });
+    EXPECT_EQ(results[1].code, Sl_OK);
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds, HttpUpstream, testing::Bool(),
                          [](const testing::TestParamInfo<bool> &is_engine) {
                              return is_engine.param ? "Engine"
