adapters: close a connection of one request after its answer

Cause: a connection opened for one request alone (one that may run once, or any to a plain service) was kept, and used for a load report, to which a second copy of the answer would have come first. Why this works: what the upstream sends after the answer meets no reader.

--- a/lib/adapters/sl_adapters.h
+++ b/lib/adapters/sl_adapters.h
@@ -83,9 +83,9 @@
      * static, may be NULL. */
     const char *echo_header;
     int64_t timeout_us; /* without any bytes from the peer */
-    /* Opens a new connection instead of using an idle one. The peer may have
-     * closed an idle connection: a request sent on it then ends with
-     * Sl_ERR_LOST, although the peer has not run it. */
+    /* Uses a new connection instead of an idle one, and closes it at the end.
+     * The peer may have closed an idle connection: a request sent on it then
+     * ends with Sl_ERR_LOST, although the peer has not run it. */
     bool fresh_connection;
     sl_evhttp_done_fn on_done;
     sl_evhttp_head_fn on_head;
--- a/lib/adapters/sl_evhttp_client.c
+++ b/lib/adapters/sl_evhttp_client.c
@@ -40,6 +40,7 @@
     sl_evhttp_chunk_fn on_chunk;
     void *context;
     const char *echo_header; /* static, may be NULL */
+    bool has_own_connection; /* which no other request uses */
     struct event *deferred;  /* ends a failed call, or frees a cancelled one */
     bool cancelled;          /* none of its callbacks may run */
     struct sl_error err;     /* why the call failed */
@@ -312,7 +313,7 @@
     struct evbuffer *input = evhttp_request_get_input_buffer(request);
     response.body.len = evbuffer_get_length(input);
     response.body.ptr = (const char *)evbuffer_pullup(input, -1);
-    if (is_reusable(request)) {
+    if (!call->has_own_connection && is_reusable(request)) {
         keep_idle(client, call->address, connection);
     }
     else {
@@ -390,6 +391,7 @@
     call->on_done = options->on_done;
     call->on_head = options->on_head;
     call->echo_header = options->echo_header;
+    call->has_own_connection = options->fresh_connection;
     call->on_chunk = options->on_chunk;
     call->context = options->context;
     g_hash_table_insert(client->pending, &call->handle, call);
