rollouts: all paces of the canary count, outliers less

Cause: the target's paces decayed with a half-life of 4 s, so that of the canary's 20 to 40 responses some eight were left when the decision fell due; and paces up to 2.5 (twelve times the usual time), from slow engines, widened the baseline's spread. Why this works: a version's first responses say as much as its last ones; a bounded number of the newest counts, so that one that turns slow late is still found, as is one that is slow now and then, by the rate, which decays as before. Digests: a tally is 48 bytes.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -11,7 +11,7 @@
  * its loads, faults, tallies, sessions, and the items of its quarantine. */
 #define Sl_FIXED_BYTES 364
 #define Sl_FAULT_BYTES 9
-#define Sl_TALLY_BYTES 42
+#define Sl_TALLY_BYTES 48
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
 #define Sl_END_BYTES 14
@@ -33,7 +33,7 @@
 #define Sl_DIGEST_FIELDS 15
 #define Sl_LOAD_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 9
-#define Sl_TALLY_FIELDS 13
+#define Sl_TALLY_FIELDS 15
 #define Sl_QUARANTINE_FIELDS 3
 #define Sl_END_FIELDS 3
 #define Sl_BLOCK_FIELDS 4
@@ -58,6 +58,7 @@
     msgpack_pack_uint16(packer, responses->failed);
     msgpack_pack_uint16(packer, responses->timed);
     msgpack_pack_uint16(packer, responses->slow);
+    msgpack_pack_uint16(packer, responses->paces);
     msgpack_pack_uint16(packer, responses->mean_pace);
     msgpack_pack_uint16(packer, responses->mean_square);
 }
@@ -389,6 +390,7 @@
     responses->failed = next_uint16(reader);
     responses->timed = next_uint16(reader);
     responses->slow = next_uint16(reader);
+    responses->paces = next_uint16(reader);
     responses->mean_pace = next_uint16(reader);
     responses->mean_square = next_uint16(reader);
 }
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -81,6 +81,7 @@
     uint16_t failed;
     uint16_t timed; /* those whose usual time is known */
     uint16_t slow;  /* those of them that took several times as long */
+    uint16_t paces; /* the newest timed ones, which do not count in part */
     /* Mean of the pace and of its square; both in thousandths, the pace from
      * Sl_GOSSIP_MIN_PACE on. */
     uint16_t mean_pace;
--- a/lib/router/sl_rollout_evidence.c
+++ b/lib/router/sl_rollout_evidence.c
@@ -9,7 +9,8 @@
  * pace, the logarithm of the time over the usual one, shows one that is always
  * moderately slower, within the few responses that a canary gets. The target's
  * counts decay, so that a version that turns bad late is found: its newest
- * responses outweigh the earlier, good ones.
+ * responses outweigh the earlier, good ones. Its paces do not: a canary's few
+ * responses all count.
  */
 #include "sl_router_internal.h"
 
@@ -17,11 +18,11 @@
 
 /* Half-life of the target's counts. */
 #define Sl_HALF_LIFE_US (4 * Sl_US_PER_S)
-/* Number of the newest responses of baseline versions that count, per router
- * and route. They do not decay: the reference must last after the target has
- * got all traffic. With this many, the rate of bad responses is known to 3
- * percentage points. */
-#define Sl_MAX_BASELINE_RESPONSES 100.0
+/* Number of the newest responses that count without decay, per router and
+ * route: those of baseline versions, as the reference must last after the
+ * target has got all traffic, and all paces. With this many, the rate of bad
+ * responses is known to 3 percentage points. */
+#define Sl_MAX_NEWEST_RESPONSES 100.0
 
 /* Least figures at which a rate of bad responses counts as higher than the
  * baseline's. A roll-out is evaluated some 20 times on independent counts: at
@@ -53,17 +54,18 @@
  * significance of the difference of the mean pace, in standard errors; and
  * that difference, the logarithm of 1.3. A roll-out is evaluated some 20 times
  * on independent counts, on several routes. */
-#define Sl_MIN_TIMED 2.5
+#define Sl_MIN_PACES 3
 #define Sl_MIN_PACE_SIGMAS 3.5
 #define Sl_MIN_PACE_EXCESS 0.26
 /* Added to both times of a pace, in which short times vary by more than a
  * factor. */
 #define Sl_PACE_OFFSET_US (20 * Sl_US_PER_MS)
-/* Largest pace: a single response that was held up does not outweigh all
- * others. */
-#define Sl_MAX_PACE 2.5
+/* Range of paces: the logarithms of half and of three times the usual time. A
+ * single response that was held up does not outweigh all others. */
+#define Sl_MIN_PACE (-0.7)
+#define Sl_MAX_PACE 1.1
 /* Prior of the baseline's pace: this many responses of mean 0. */
-#define Sl_PRIOR_TIMED 4.0
+#define Sl_PRIOR_PACES 4.0
 #define Sl_PRIOR_PACE_VARIANCE 0.25
 /* Least variance of the pace: the few responses of a canary may agree by
  * chance. */
@@ -76,14 +78,12 @@
 /* ---- counts ---- */
 
 static void
-scale_tally(struct sl_response_tally *tally, double factor)
+decay_tally(struct sl_response_tally *tally, double factor)
 {
     tally->count *= factor;
     tally->failed *= factor;
     tally->timed *= factor;
     tally->slow *= factor;
-    tally->pace *= factor;
-    tally->pace_squares *= factor;
 }
 
 static void
@@ -93,15 +93,16 @@
     sum->failed += tally->failed;
     sum->timed += tally->timed;
     sum->slow += tally->slow;
-    sum->pace += tally->pace;
+    sum->paces += tally->paces;
+    sum->pace_sum += tally->pace_sum;
     sum->pace_squares += tally->pace_squares;
 }
 
-/* Returns the factor that makes room for one more response of the baseline. */
+/* Returns the factor that makes room for one more response. */
 static double
 factor_for_newest(double responses)
 {
-    return responses >= Sl_MAX_BASELINE_RESPONSES ? 1 - 1 / responses : 1;
+    return responses >= Sl_MAX_NEWEST_RESPONSES ? 1 - 1 / responses : 1;
 }
 
 void
@@ -118,7 +119,7 @@
 {
     double ratio = (double)(took_us + Sl_PACE_OFFSET_US) /
                    (double)(usual_us + Sl_PACE_OFFSET_US);
-    return CLAMP(log(ratio), Sl_GOSSIP_MIN_PACE, Sl_MAX_PACE);
+    return CLAMP(log(ratio), Sl_MIN_PACE, Sl_MAX_PACE);
 }
 
 void
@@ -130,7 +131,9 @@
     bool is_slow = took_us > Sl_SLOW_FACTOR * usual_us + Sl_SLOW_EXTRA_US;
     tally->timed = tally->timed * factor + 1;
     tally->slow = tally->slow * factor + (is_slow ? 1 : 0);
-    tally->pace = tally->pace * factor + pace;
+    factor = factor_for_newest(tally->paces);
+    tally->paces = tally->paces * factor + 1;
+    tally->pace_sum = tally->pace_sum * factor + pace;
     tally->pace_squares = tally->pace_squares * factor + pace * pace;
 }
 
@@ -140,7 +143,7 @@
     int64_t age_us = now_us - evidence->decayed_until_us;
     double factor = exp2(-(double)age_us / (double)Sl_HALF_LIFE_US);
     for (size_t i = 0; i < evidence->count; i++) {
-        scale_tally(&evidence->routes[i].target, factor);
+        decay_tally(&evidence->routes[i].target, factor);
     }
     evidence->decayed_until_us = now_us;
 }
@@ -170,17 +173,19 @@
 static struct sl_response_tally
 tally_of_report(const struct sl_gossip_responses *report)
 {
-    double timed = (double)report->timed / Sl_REPORT_UNITS_PER_RESPONSE;
+    double paces = (double)report->paces / Sl_REPORT_UNITS_PER_RESPONSE;
     double mean_pace = (double)report->mean_pace / Sl_REPORT_UNITS_PER_PACE +
                        Sl_GOSSIP_MIN_PACE;
+    double mean_square =
+        (double)report->mean_square / Sl_REPORT_UNITS_PER_PACE;
     return (struct sl_response_tally){
         .count = (double)report->count / Sl_REPORT_UNITS_PER_RESPONSE,
         .failed = (double)report->failed / Sl_REPORT_UNITS_PER_RESPONSE,
-        .timed = timed,
+        .timed = (double)report->timed / Sl_REPORT_UNITS_PER_RESPONSE,
         .slow = (double)report->slow / Sl_REPORT_UNITS_PER_RESPONSE,
-        .pace = timed * mean_pace,
-        .pace_squares =
-            timed * (double)report->mean_square / Sl_REPORT_UNITS_PER_PACE,
+        .paces = paces,
+        .pace_sum = paces * mean_pace,
+        .pace_squares = paces * mean_square,
     };
 }
 
@@ -215,13 +220,14 @@
         .failed = to_report_units(tally->failed, Sl_REPORT_UNITS_PER_RESPONSE),
         .timed = to_report_units(tally->timed, Sl_REPORT_UNITS_PER_RESPONSE),
         .slow = to_report_units(tally->slow, Sl_REPORT_UNITS_PER_RESPONSE),
+        .paces = to_report_units(tally->paces, Sl_REPORT_UNITS_PER_RESPONSE),
     };
-    if (tally->timed > 0) {
-        report.mean_pace =
-            to_report_units(tally->pace / tally->timed - Sl_GOSSIP_MIN_PACE,
-                            Sl_REPORT_UNITS_PER_PACE);
+    if (tally->paces > 0) {
+        report.mean_pace = to_report_units(tally->pace_sum / tally->paces -
+                                               Sl_GOSSIP_MIN_PACE,
+                                           Sl_REPORT_UNITS_PER_PACE);
         report.mean_square = to_report_units(
-            tally->pace_squares / tally->timed, Sl_REPORT_UNITS_PER_PACE);
+            tally->pace_squares / tally->paces, Sl_REPORT_UNITS_PER_PACE);
     }
     return report;
 }
@@ -310,10 +316,10 @@
 static struct sl_pace_estimate
 estimate_pace(const struct sl_response_tally *tally, double min_variance)
 {
-    double mean = tally->pace / tally->timed;
+    double mean = tally->pace_sum / tally->paces;
     double variance =
-        MAX(tally->pace_squares / tally->timed - mean * mean, min_variance);
-    return (struct sl_pace_estimate){mean, variance, variance / tally->timed};
+        MAX(tally->pace_squares / tally->paces - mean * mean, min_variance);
+    return (struct sl_pace_estimate){mean, variance, variance / tally->paces};
 }
 
 /* Returns true if the target's responses take significantly longer than the
@@ -322,9 +328,9 @@
 has_slower_pace(const struct sl_route_tally *tally)
 {
     struct sl_response_tally baseline = tally->baseline;
-    baseline.timed += Sl_PRIOR_TIMED;
-    baseline.pace_squares += Sl_PRIOR_TIMED * Sl_PRIOR_PACE_VARIANCE;
-    if (tally->target.timed < Sl_MIN_TIMED) {
+    baseline.paces += Sl_PRIOR_PACES;
+    baseline.pace_squares += Sl_PRIOR_PACES * Sl_PRIOR_PACE_VARIANCE;
+    if (tally->target.paces < Sl_MIN_PACES) {
         return false;
     }
     struct sl_pace_estimate usual =
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -342,8 +342,8 @@
 static int64_t
 pace_percent(const struct sl_response_tally *tally)
 {
-    return lround(100 *
-                  (tally->timed > 0 ? exp(tally->pace / tally->timed) : 1));
+    return lround(
+        100 * (tally->paces > 0 ? exp(tally->pace_sum / tally->paces) : 1));
 }
 
 static void
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -209,7 +209,10 @@
     double failed;
     double timed; /* responses whose usual time is known */
     double slow;  /* those of them that took several times as long */
-    double pace;  /* sum over the timed ones */
+    /* Of a bounded number of the newest timed responses, without decay: their
+     * number, and the sums of the pace and of its square. */
+    double paces;
+    double pace_sum;
     double pace_squares;
 };
 
@@ -223,7 +226,8 @@
 /* Routes on which responses are counted at most, per roll-out. */
 #define Sl_MAX_ROUTE_TALLIES Sl_GOSSIP_MAX_TALLIES
 
-/* Responses by route. The target's counts decay exponentially with time. */
+/* Responses by route. The target's counts decay exponentially with time, but
+ * for its paces. */
 struct sl_rollout_evidence {
     int64_t decayed_until_us; /* time up to which the target's counts have
                                  decayed */
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -30,7 +30,7 @@
     digest->rollouts[0].elapsed_ms = 900;
     digest->rollouts[0].tally_count = 1;
     digest->rollouts[0].tallies[0] = {
-        1, {20, 10, 7, 6, 1003, 1}, {300, 5, 65535, 2, 1, 12250}};
+        1, {20, 10, 7, 6, 40, 1003, 1}, {300, 5, 65535, 2, 1000, 1, 12250}};
     digest->rollouts[0].session_count = 2;
     digest->rollouts[0].sessions[1] = 42;
     struct sl_gossip_quarantine &quarantine = digest->quarantine;
@@ -78,6 +78,7 @@
     const struct sl_gossip_tally &tally = decoded->rollouts[0].tallies[0];
     EXPECT_EQ(tally.target.failed, 10u);
     EXPECT_EQ(tally.target.slow, 6u);
+    EXPECT_EQ(tally.target.paces, 40u);
     EXPECT_EQ(tally.target.mean_pace, 1003u);
     EXPECT_EQ(tally.baseline.count, 300u);
     EXPECT_EQ(tally.baseline.timed, 65535u);
