quarantine: the common part of a rare service was blocked for its engines' ends

Cause: a suspect's share was that among the calls to all services, and its ends were compared with the ends of all engines. A part that all prompts of a service hold is in six of 100 calls of a router if the service is, so chance did not seem to explain that it is at each end of that service's engines. Change: ends, begun calls and shares are those of one service; an end in the gossip names its service (19 bytes instead of 14). Why that works: requests of other services cannot reach the engine, so they say nothing about which of its calls is to blame. A part that all calls to the service hold now has a share near one, at which no number of ends accuses it.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -14,7 +14,7 @@
 #define Sl_TALLY_BYTES 48
 #define Sl_LOAD_BYTES 16
 #define Sl_SESSION_BYTES 5
-#define Sl_END_BYTES 14
+#define Sl_END_BYTES 19
 #define Sl_SUSPECT_BYTES 6
 #define Sl_BLOCK_BYTES 17
 #define Sl_BLOCK_KEY_BYTES 5
@@ -35,7 +35,7 @@
 #define Sl_ROLLOUT_FIELDS 9
 #define Sl_TALLY_FIELDS 15
 #define Sl_QUARANTINE_FIELDS 3
-#define Sl_END_FIELDS 3
+#define Sl_END_FIELDS 4
 #define Sl_BLOCK_FIELDS 4
 #define Sl_CLEARED_FIELDS 2
 #define Sl_PEER_LIST_FIELDS 2
@@ -115,6 +115,7 @@
 {
     msgpack_pack_array(packer, Sl_END_FIELDS);
     msgpack_pack_uint32(packer, end->engine);
+    msgpack_pack_uint32(packer, end->service);
     msgpack_pack_uint32(packer, end->age_ms);
     /* In turn keys, and shares with `has_started` as the lowest bit. */
     msgpack_pack_array(packer, 2 * end->suspect_count);
@@ -436,6 +437,7 @@
 decode_end(struct sl_array_reader fields, struct sl_gossip_end *end)
 {
     end->engine = next_uint32(&fields);
+    end->service = next_uint32(&fields);
     end->age_ms = next_uint32(&fields);
     struct sl_array_reader suspects =
         next_array(&fields, (size_t)2 * Sl_GOSSIP_MAX_SUSPECTS);
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -130,7 +130,8 @@
 
 /* The end of an engine's process. */
 struct sl_gossip_end {
-    uint32_t engine; /* hash of its id */
+    uint32_t engine;  /* hash of its id */
+    uint32_t service; /* key of its service */
     uint32_t age_ms;
     size_t suspect_count;
     struct sl_gossip_suspect suspects[Sl_GOSSIP_MAX_SUSPECTS];
--- a/lib/quarantine/sl_begun_table.c
+++ b/lib/quarantine/sl_begun_table.c
@@ -19,14 +19,13 @@
     uint32_t key;
     int64_t last_us; /* when a call with the key last began, at any router */
     struct sl_decaying calls; /* of this router */
+    uint64_t total;           /* of this router */
     GList *link;              /* in `by_use` */
 };
 
 struct sl_begun_table {
     GHashTable *keys; /* key -> struct sl_begun_key, owned */
     GQueue by_use;    /* struct sl_begun_key, last used at the tail */
-    struct sl_decaying calls;
-    uint64_t total;
 };
 
 /* ---- counts ---- */
@@ -99,13 +98,7 @@
     struct sl_begun_key *begun = find_or_add(table, key);
     begun->last_us = MAX(begun->last_us, now_us);
     add_one(&begun->calls, now_us);
-}
-
-void
-SlBegunTable_CountCall(struct sl_begun_table *table, int64_t now_us)
-{
-    add_one(&table->calls, now_us);
-    table->total++;
+    begun->total++;
 }
 
 void
@@ -125,23 +118,24 @@
 
 double
 SlBegunTable_Share(const struct sl_begun_table *table, int64_t now_us,
-                   uint32_t key)
+                   uint32_t service, uint32_t key)
 {
-    const struct sl_begun_key *begun = find(table, key);
-    double calls = SlBegunTable_Calls(table, now_us);
-    return begun == NULL || calls == 0
-               ? 0
-               : MIN(decayed(&begun->calls, now_us) / calls, 1);
+    double calls = SlBegunTable_Calls(table, now_us, service);
+    return calls == 0 ? 0
+                      : MIN(SlBegunTable_Calls(table, now_us, key) / calls, 1);
 }
 
 double
-SlBegunTable_Calls(const struct sl_begun_table *table, int64_t now_us)
+SlBegunTable_Calls(const struct sl_begun_table *table, int64_t now_us,
+                   uint32_t key)
 {
-    return decayed(&table->calls, now_us);
+    const struct sl_begun_key *begun = find(table, key);
+    return begun == NULL ? 0 : decayed(&begun->calls, now_us);
 }
 
 uint64_t
-SlBegunTable_Total(const struct sl_begun_table *table)
+SlBegunTable_Total(const struct sl_begun_table *table, uint32_t key)
 {
-    return table->total;
+    const struct sl_begun_key *begun = find(table, key);
+    return begun == NULL ? 0 : begun->total;
 }
--- a/lib/quarantine/sl_ends.c
+++ b/lib/quarantine/sl_ends.c
@@ -43,18 +43,19 @@
     return count;
 }
 
-/* Returns what is known of the key. Ends that blocks of other keys explain do
- * not count. */
+/* Returns what is known of a key of the service. Ends that blocks of other
+ * keys explain do not count. */
 static struct sl_blame
 find_blame(const struct sl_quarantine *quarantine, int64_t now_us,
-           uint32_t key)
+           uint32_t service, uint32_t key)
 {
+    const struct sl_begun_table *begun = quarantine->begun;
     struct sl_blame blame = {
         .is_whole = SlPromptKeys_IsWhole(key),
-        .calls = SlBegunTable_Calls(quarantine->begun, now_us),
-        .begun_share = SlBegunTable_Share(quarantine->begun, now_us, key),
+        .calls = SlBegunTable_Calls(begun, now_us, service),
+        .begun_share = SlBegunTable_Share(begun, now_us, service, key),
     };
-    uint64_t begun_total = SlBegunTable_Total(quarantine->begun);
+    uint64_t begun_total = SlBegunTable_Total(begun, service);
     uint64_t begun_before = begun_total;
     int64_t first_us = INT64_MAX;
     int64_t last_us = INT64_MIN;
@@ -74,10 +75,11 @@
     }
     for (guint i = 0; i < quarantine->ends->len; i++) {
         const struct sl_end *end = end_at(quarantine, i);
-        blame.ends_total +=
-            end->at_us >= first_us && !SlBlocks_Explain(quarantine, end, &key)
-                ? 1
-                : 0;
+        blame.ends_total += end->service == service &&
+                                    end->at_us >= first_us &&
+                                    !SlBlocks_Explain(quarantine, end, &key)
+                                ? 1
+                                : 0;
     }
     blame.spread_us = blame.ends > 0 ? last_us - first_us : 0;
     blame.begun_since = (double)(begun_total - begun_before);
@@ -139,7 +141,8 @@
         const struct sl_end *end = end_at(quarantine, index);
         uint32_t keys[Sl_GOSSIP_MAX_BLOCK_KEYS];
         uint32_t key = end->suspects[i].key;
-        struct sl_blame blame = find_blame(quarantine, now_us, key);
+        struct sl_blame blame =
+            find_blame(quarantine, now_us, end->service, key);
         if (!SlBlame_IsGuilty(&blame)) {
             continue;
         }
@@ -233,7 +236,8 @@
     guint index = find_same_end(quarantine, end);
     if (index == quarantine->ends->len) {
         struct sl_end added = *end;
-        added.begun_before = SlBegunTable_Total(quarantine->begun);
+        added.begun_before =
+            SlBegunTable_Total(quarantine->begun, end->service);
         added.suspect_count = 0;
         if (quarantine->ends->len == Sl_MAX_ENDS) {
             evict_end(quarantine);
--- a/lib/quarantine/sl_prompt_keys.c
+++ b/lib/quarantine/sl_prompt_keys.c
@@ -10,6 +10,7 @@
 {
     uint64_t seed = SlHash_Bytes(0, service);
     uint64_t whole = count > 0 ? seed : SlHash_Bytes(seed, request_id);
+    prompt->service = SlPromptKeys_Service(service);
     prompt->part_count = 0;
     for (size_t i = 0; i < count; i++) {
         whole = SlHash_Mix(whole ^ ids[i]);
@@ -21,6 +22,12 @@
     prompt->whole = (uint32_t)whole | Sl_WHOLE_BIT;
 }
 
+uint32_t
+SlPromptKeys_Service(struct sl_str service)
+{
+    return (uint32_t)SlHash_Bytes(0, service) & ~Sl_WHOLE_BIT;
+}
+
 bool
 SlPromptKeys_IsWhole(uint32_t key)
 {
--- a/lib/quarantine/sl_quarantine.c
+++ b/lib/quarantine/sl_quarantine.c
@@ -102,7 +102,7 @@
     if (end->suspect_count < Sl_MAX_SUSPECTS && !has_begun) {
         end->suspects[end->suspect_count++] = (struct sl_suspect){
             key, has_started,
-            SlBegunTable_Share(quarantine->begun, now_us, key)};
+            SlBegunTable_Share(quarantine->begun, now_us, end->service, key)};
     }
 }
 
@@ -128,10 +128,12 @@
 
 void
 SlQuarantine_OnEnd(struct sl_quarantine *quarantine, int64_t now_us,
-                   uint32_t engine, int64_t at_us,
+                   const struct sl_ended_engine *ended,
                    const struct sl_unbegun_call *calls, size_t count)
 {
-    struct sl_end end = {.engine = engine, .at_us = at_us};
+    struct sl_end end = {.engine = ended->engine,
+                         .service = ended->service,
+                         .at_us = ended->at_us};
     /* There may be too many keys for an end: those of calls that had started
      * come first. */
     accuse_calls(quarantine, now_us, &end, calls, count, true);
@@ -192,12 +194,12 @@
 SlQuarantine_OnBegun(struct sl_quarantine *quarantine, int64_t now_us,
                      const struct sl_prompt_keys *prompt)
 {
+    SlBegunTable_CountKey(quarantine->begun, now_us, prompt->service);
     for (size_t i = 0; i < prompt->part_count; i++) {
         SlBegunTable_CountKey(quarantine->begun, now_us, prompt->parts[i]);
         SlQuarantine_Clear(quarantine, prompt->parts[i], now_us, false);
     }
     SlQuarantine_Clear(quarantine, prompt->whole, now_us, false);
-    SlBegunTable_CountCall(quarantine->begun, now_us);
 }
 
 /* ---- decisions ---- */
--- a/lib/quarantine/sl_quarantine.h
+++ b/lib/quarantine/sl_quarantine.h
@@ -41,6 +41,7 @@
 
 /* Keys of a prompt, which are hashes. They differ between services. */
 struct sl_prompt_keys {
+    uint32_t service;
     uint32_t whole; /* of the whole prompt; odd */
     size_t part_count;
     /* Of the parts but the last, which belongs to the request alone; even. */
@@ -52,6 +53,8 @@
 void SlPromptKeys_Set(struct sl_prompt_keys *prompt, struct sl_str service,
                       const uint64_t *ids, size_t count,
                       struct sl_str request_id);
+/* Returns the key of the service. */
+uint32_t SlPromptKeys_Service(struct sl_str service);
 /* Returns true if the key is of a whole prompt, not of a part. */
 bool SlPromptKeys_IsWhole(uint32_t key);
 
@@ -75,10 +78,17 @@
     bool has_started; /* it had the head of its response */
 };
 
-/* Handles the end of an engine, `engine` being a hash of its id, at `at_us`.
- * There may be no calls that had not begun there. */
+/* An engine that has ended. */
+struct sl_ended_engine {
+    uint32_t engine;  /* hash of its id */
+    uint32_t service; /* key of its service */
+    int64_t at_us;
+};
+
+/* Handles the end of an engine. There may be no calls that had not begun
+ * there. */
 void SlQuarantine_OnEnd(struct sl_quarantine *quarantine, int64_t now_us,
-                        uint32_t engine, int64_t at_us,
+                        const struct sl_ended_engine *ended,
                         const struct sl_unbegun_call *calls, size_t count);
 /* Removes what is too old to matter. */
 void SlQuarantine_Expire(struct sl_quarantine *quarantine, int64_t now_us);
--- a/lib/quarantine/sl_quarantine_internal.h
+++ b/lib/quarantine/sl_quarantine_internal.h
@@ -27,24 +27,25 @@
 
 struct sl_begun_table *SlBegunTable_New(void);
 void SlBegunTable_Free(struct sl_begun_table *table);
-/* Counts a call that has begun, with the key among others. The keys of one
- * call are followed by SlBegunTable_CountCall(). */
+/* Counts a call that has begun, with the key among others. The key of its
+ * service is one of them. */
 void SlBegunTable_CountKey(struct sl_begun_table *table, int64_t now_us,
                            uint32_t key);
-void SlBegunTable_CountCall(struct sl_begun_table *table, int64_t now_us);
 /* Records that a call with the key has begun at another router. */
 void SlBegunTable_NoteKey(struct sl_begun_table *table, int64_t begun_us,
                           uint32_t key);
 /* Returns when a call with the key last began; INT64_MIN if that is not
  * known. */
 int64_t SlBegunTable_LastUs(const struct sl_begun_table *table, uint32_t key);
-/* Returns the share of the recent calls that held the key, 0 to 1. */
+/* Returns the share of the recent calls to the service that held the key, 0 to
+ * 1. */
 double SlBegunTable_Share(const struct sl_begun_table *table, int64_t now_us,
+                          uint32_t service, uint32_t key);
+/* Returns the recent number of calls with the key, which decays. */
+double SlBegunTable_Calls(const struct sl_begun_table *table, int64_t now_us,
                           uint32_t key);
-/* Returns the recent number of calls, which decays. */
-double SlBegunTable_Calls(const struct sl_begun_table *table, int64_t now_us);
-/* Returns the number of calls since the table was created. */
-uint64_t SlBegunTable_Total(const struct sl_begun_table *table);
+/* Returns the number of calls with the key since the table has it. */
+uint64_t SlBegunTable_Total(const struct sl_begun_table *table, uint32_t key);
 
 /* ---- blame ---- */
 
@@ -54,11 +55,13 @@
     unsigned ends;         /* of which it is a suspect */
     unsigned started_ends; /* those of them at which a call with it had
                               started */
-    unsigned ends_total;   /* in the same time, whatever their suspects */
+    unsigned ends_total;   /* of engines of the service in the same time,
+                              whatever their suspects */
     int64_t spread_us;     /* from the first to the last of `ends` */
-    double calls;          /* recent calls that have begun */
-    double begun_share;    /* share of them that held the key */
-    double begun_since; /* calls that have begun without it since the first of
+    /* Of the calls to the service. */
+    double calls;       /* recent ones that have begun */
+    double begun_share; /* share of them that held the key */
+    double begun_since; /* those that have begun without it since the first of
                            `ends` */
 };
 
@@ -87,9 +90,11 @@
 
 /* The end of an engine. */
 struct sl_end {
-    uint32_t engine; /* hash of its id */
+    uint32_t engine;  /* hash of its id */
+    uint32_t service; /* key of its service */
     int64_t at_us;
-    uint64_t begun_before; /* calls that had begun at this router by then */
+    uint64_t begun_before; /* calls to the service that had begun at this
+                              router by then */
     size_t suspect_count;
     struct sl_suspect suspects[Sl_MAX_SUSPECTS];
 };
--- a/lib/quarantine/sl_reports.c
+++ b/lib/quarantine/sl_reports.c
@@ -55,9 +55,10 @@
     for (size_t i = 0; i < end->suspect_count; i++) {
         struct sl_suspect suspect = end->suspects[i];
         if (!SlPromptKeys_IsWhole(suspect.key)) {
-            suspect.begun_share = MAX(
-                suspect.begun_share,
-                SlBegunTable_Share(quarantine->begun, now_us, suspect.key));
+            suspect.begun_share =
+                MAX(suspect.begun_share,
+                    SlBegunTable_Share(quarantine->begun, now_us, end->service,
+                                       suspect.key));
             ranked[count++] = (struct sl_ranked_suspect){
                 suspect, SlEnds_Count(quarantine, suspect.key)};
         }
@@ -95,6 +96,7 @@
         }
         struct sl_gossip_end *item = &report->ends[report->end_count++];
         item->engine = end->engine;
+        item->service = end->service;
         item->age_ms = to_ms(now_us - end->at_us);
         fill_suspects(quarantine, now_us, end, item);
         quarantine->next_end = index + 1;
@@ -159,6 +161,7 @@
 {
     struct sl_end end = {
         .engine = report->engine,
+        .service = report->service,
         .at_us = now_us - report->age_ms * Sl_US_PER_MS,
         .suspect_count = report->suspect_count,
     };
--- a/lib/router/sl_engine_ends.c
+++ b/lib/router/sl_engine_ends.c
@@ -133,8 +133,8 @@
                   (router->now_us - end->at_us) / Sl_US_PER_MS);
     SlLogLine_End(router, Sl_LOG_INFO);
     SlRouterMetrics_OnEngineEnded(router, &end->service);
-    SlPromptGuard_OnEnd(router, &end->upstream, end->at_us, end->unbegun,
-                        end->unbegun_count);
+    SlPromptGuard_OnEnd(router, &end->upstream, &end->service, end->at_us,
+                        end->unbegun, end->unbegun_count);
 }
 
 /* Returns true if the upstream has sent bytes since, or other calls of this
--- a/lib/router/sl_prompt_guard.c
+++ b/lib/router/sl_prompt_guard.c
@@ -219,12 +219,16 @@
 
 void
 SlPromptGuard_OnEnd(struct sl_router *router, const struct sl_name *upstream,
-                    int64_t at_us, const struct sl_unbegun_call *calls,
-                    size_t count)
+                    const struct sl_name *service, int64_t at_us,
+                    const struct sl_unbegun_call *calls, size_t count)
 {
-    uint32_t engine = (uint32_t)SlHash_Bytes(0, SlName_Str(upstream));
-    SlQuarantine_OnEnd(router->quarantine, router->now_us, engine, at_us,
-                       calls, count);
+    const struct sl_ended_engine ended = {
+        .engine = (uint32_t)SlHash_Bytes(0, SlName_Str(upstream)),
+        .service = SlPromptKeys_Service(SlName_Str(service)),
+        .at_us = at_us,
+    };
+    SlQuarantine_OnEnd(router->quarantine, router->now_us, &ended, calls,
+                       count);
     router->capacity_changed = true; /* requests may wait for this end */
     spread_news(router, true);
 }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1262,7 +1262,8 @@
                                 struct sl_routed_request *request);
 /* Handles the end of an engine, at which the calls had not begun. */
 void SlPromptGuard_OnEnd(struct sl_router *router,
-                         const struct sl_name *upstream, int64_t at_us,
+                         const struct sl_name *upstream,
+                         const struct sl_name *service, int64_t at_us,
                          const struct sl_unbegun_call *calls, size_t count);
 /* Handles a peer's report. */
 void SlPromptGuard_OnReport(struct sl_router *router,
--- a/tests/bench/bench_quarantine.c
+++ b/tests/bench/bench_quarantine.c
@@ -53,8 +53,9 @@
             calls[j].has_started = j < 2;
         }
         run->now_us += 50 * Sl_US_PER_MS;
-        SlQuarantine_OnEnd(run->quarantine, run->now_us,
-                           (uint32_t)++run->number, run->now_us, calls,
+        const struct sl_ended_engine ended = {
+            (uint32_t)++run->number, calls[0].prompt.service, run->now_us};
+        SlQuarantine_OnEnd(run->quarantine, run->now_us, &ended, calls,
                            G_N_ELEMENTS(calls));
         SlQuarantine_ClearChanges(run->quarantine);
     }
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -35,7 +35,8 @@
     digest->rollouts[0].sessions[1] = 42;
     struct sl_gossip_quarantine &quarantine = digest->quarantine;
     quarantine.end_count = 1;
-    quarantine.ends[0] = {0xfffffffe, 120, 2, {{6, true, 127}, {8, false, 1}}};
+    quarantine.ends[0] = {
+        0xfffffffe, 12, 120, 2, {{6, true, 127}, {8, false, 1}}};
     quarantine.block_count = 1;
     quarantine.blocks[0] = {40, 30000, 2, 2, {6, 8}};
     quarantine.cleared_count = 1;
@@ -87,6 +88,7 @@
     const struct sl_gossip_quarantine &quarantine = decoded->quarantine;
     ASSERT_EQ(quarantine.end_count, 1u);
     EXPECT_EQ(quarantine.ends[0].engine, 0xfffffffeu);
+    EXPECT_EQ(quarantine.ends[0].service, 12u);
     EXPECT_EQ(quarantine.ends[0].age_ms, 120u);
     ASSERT_EQ(quarantine.ends[0].suspect_count, 2u);
     EXPECT_EQ(quarantine.ends[0].suspects[1].key, 8u);
@@ -131,7 +133,7 @@
 {
     quarantine->end_count = Sl_GOSSIP_MAX_ENDS;
     for (auto &end : quarantine->ends) {
-        end = {0xffffffff, 0xffffffff, Sl_GOSSIP_MAX_SUSPECTS, {}};
+        end = {0xffffffff, 0xffffffff, 0xffffffff, Sl_GOSSIP_MAX_SUSPECTS, {}};
         for (auto &suspect : end.suspects) {
             suspect = {0xffffffff, true, Sl_GOSSIP_SHARE_STEPS};
         }
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -20,10 +20,10 @@
 const uint64_t team = 60;
 
 struct sl_prompt_keys
-prompt(const Parts &parts)
+prompt(const Parts &parts, const char *service = "plume")
 {
     struct sl_prompt_keys keys;
-    SlPromptKeys_Set(&keys, Sl_STR("plume"), parts.data(), parts.size(),
+    SlPromptKeys_Set(&keys, SlStr_FromC(service), parts.data(), parts.size(),
                      Sl_STR("req"));
     return keys;
 }
@@ -51,9 +51,9 @@
     }
 
     void
-    begin(const Parts &parts)
+    begin(const Parts &parts, const char *service = "plume")
     {
-        struct sl_prompt_keys keys = prompt(parts);
+        struct sl_prompt_keys keys = prompt(parts, service);
         SlQuarantine_OnBegun(get(), now_us, &keys);
     }
 
@@ -71,17 +71,18 @@
     // not.
     void
     end(uint32_t engine, const std::vector<Parts> &started,
-        const std::vector<Parts> &waiting = {})
+        const std::vector<Parts> &waiting = {}, const char *service = "plume")
     {
         std::vector<struct sl_unbegun_call> calls;
         for (const Parts &parts : started) {
-            calls.push_back({prompt(parts), true});
+            calls.push_back({prompt(parts, service), true});
         }
         for (const Parts &parts : waiting) {
-            calls.push_back({prompt(parts), false});
+            calls.push_back({prompt(parts, service), false});
         }
-        SlQuarantine_OnEnd(get(), now_us, engine, now_us, calls.data(),
-                           calls.size());
+        const struct sl_ended_engine ended = {
+            engine, SlPromptKeys_Service(SlStr_FromC(service)), now_us};
+        SlQuarantine_OnEnd(get(), now_us, &ended, calls.data(), calls.size());
     }
 
     // An engine ends under a call with these parts and one of its own.
@@ -274,6 +275,26 @@
     EXPECT_FALSE(router.blocks({first, 100}));
 }
 
+// All engines of a service end, for another reason than their requests, while
+// another service begins most of the calls.
+TEST(Quarantine, BlocksNothingWhenAllEnginesOfARareServiceEnd)
+{
+    for (double gap_s : {0.0, 0.2, 0.5, 1.0}) {
+        Router router;
+        uint64_t own = 10000;
+        for (int i = 0; i < 60; i++) {
+            router.serve_s(0.5);
+            router.begin({7, 70 + own % 10, ++own}, "rare");
+        }
+        router.serve_s(1.5);
+        for (uint32_t engine = 1; engine <= 8; engine++) {
+            router.end(engine, {{7, 70 + own % 10, ++own}}, {}, "rare");
+            router.serve_s(gap_s);
+        }
+        EXPECT_EQ(router.block_count(), 0u) << gap_s << " s apart";
+    }
+}
+
 // 40 engines end at once, for another reason than their requests: with calls
 // that wait and hold parts which have not begun yet, some of them in a fifth
 // of the calls, and a few that had started, of which three hold the same part.
