router: a router that the store does not answer waited to pull an update

What callers saw: in a simulated fleet whose readers lose the store, a withdrawn key was accepted up to 0.2 s after its bound by the routers that the store was silent to; others had read the update 0.6 s earlier. Cause: such a router pulls from a peer that is ahead only once it has been behind for 200 ms, as the update might be on its way from the store. It looks at that only when a digest arrives; the announcement of the update is one, and the next one, a regular one, comes up to 0.7 s later. Change: while its reads fail, it pulls by the same rule as a router that does not read the store: from its domain or its parent of the fan-out tree at once, from others if overdue. Why that works: no update is on its way from a store that does not answer. The rule for pulls keeps large domains from asking one peer all at once. Evidence: update_late_store_silent and feeds fail without. `feeds` expected the pull at the second digest, at 7.7 s; it expects it at the first now, at 7.4 s, which is the stricter order.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -698,35 +698,6 @@
     state->next_pull_us = router->now_us + Sl_PULL_PAUSE_US;
 }
 
-/* Gets the updates by which the digest's sender is ahead of this router, which
- * reads the store itself: by another read, or from the sender while the store
- * refuses this router. */
-static void
-catch_up(struct sl_router *router, enum sl_feed feed,
-         const struct sl_gossip_digest *digest)
-{
-    struct sl_feed_state *state = &router->feeds[feed];
-    if (state->behind_since_us == 0) {
-        state->behind_since_us = router->now_us;
-    }
-    if (router->now_us - state->behind_since_us < Sl_BEHIND_US) {
-        return; /* the update may be on its way to this router */
-    }
-    if (state->failing_since_us == 0) {
-        if (state->is_reading &&
-            state->read_sent_us < state->behind_since_us) {
-            /* The read that the store holds has missed the update. A read that
-             * was sent after the peer was found to be ahead is not sent again,
-             * however often peers announce the update: otherwise digests that
-             * come faster than the store answers would restart it forever. */
-            cancel_read(router, feed);
-            send_read(router, feed, 0);
-        }
-        return;
-    }
-    SlFeeds_Pull(router, feed, digest);
-}
-
 /* Notes since when the feed is behind a peer. Returns true if that is so long
  * ago that the router which should transfer the update has failed to. Routers
  * of a large domain wait longer before they pull from another domain. */
@@ -764,6 +735,36 @@
     return check_overdue(router, feed, is_same_domain);
 }
 
+/* Gets the updates by which the digest's sender is ahead of this router, which
+ * reads the store itself: by another read, or from the sender while the store
+ * does not answer this router. */
+static void
+catch_up(struct sl_router *router, enum sl_feed feed,
+         const struct sl_gossip_digest *digest)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (state->failing_since_us != 0) {
+        if (check_may_pull(router, feed, digest)) {
+            SlFeeds_Pull(router, feed, digest);
+        }
+        return;
+    }
+    if (state->behind_since_us == 0) {
+        state->behind_since_us = router->now_us;
+    }
+    if (router->now_us - state->behind_since_us < Sl_BEHIND_US) {
+        return; /* the update may be on its way to this router */
+    }
+    if (state->is_reading && state->read_sent_us < state->behind_since_us) {
+        /* The read that the store holds has missed the update. A read that
+         * was sent after the peer was found to be ahead is not sent again,
+         * however often peers announce the update: otherwise digests that
+         * come faster than the store answers would restart it forever. */
+        cancel_read(router, feed);
+        send_read(router, feed, 0);
+    }
+}
+
 /* Notes that the feeds of which this router has all records of the digest's
  * sender were current when the sender's were. */
 static void
