router: one answered read vouched for feeds that nobody read any more

Cause: a digest tells the age of all feeds of its sender by one number, the time since the store last answered it. A router that once took reading over has a read of another feed at the store for up to ten seconds. Its answer made the fleet believe that the operators' feed was current too, though its readers had lost the store 1.6 s before; the others took reading over 4.5 s after the loss instead of 2.5 s. Change: each feed has the time at which the store showed it to be current, by an answer while it was being read here; a digest tells the age of the oldest. Why that works: a read that the store holds would have been answered if there was news of that feed; a feed that is not read has no such evidence. Evidence: Restart.UsesNoWithdrawnKeyLateWhenTheReadersLoseTheStoreAgain fails without (3 of 36 moments), passes with it.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -101,6 +101,7 @@
                                     : Sl_ROUTER_EFFECT_READ_SNAPSHOT);
     assert(!state->is_reading);
     state->is_reading = true;
+    state->is_followed = true;
     state->read_sent_us = router->now_us;
     effect->u.read.feed = feed;
     effect->u.read.from = state->next_offset;
@@ -130,6 +131,7 @@
     }
     SlTimers_Cancel(router->timers, state->timer);
     state->timer = 0;
+    state->is_followed = false;
     state->waits_for_probe = false;
 }
 
@@ -169,8 +171,13 @@
 uint32_t
 SlFeeds_StalenessMs(const struct sl_router *router)
 {
-    return age_ms(router, MAX(router->store_answered_us,
-                              oldest_current_per_peers_us(router)));
+    int64_t oldest_us = INT64_MAX;
+    for (int i = 0; i < Sl_GOSSIP_FEED_COUNT; i++) {
+        const struct sl_feed_state *state = &router->feeds[i];
+        oldest_us = MIN(oldest_us, MAX(state->current_per_store_us,
+                                       state->current_per_peers_us));
+    }
+    return age_ms(router, oldest_us);
 }
 
 void
@@ -254,6 +261,7 @@
     }
     else if (router->feeds[id].has_snapshot &&
              is_feed_served_by_readers(router, (enum sl_feed)id)) {
+        router->feeds[id].is_followed = false;
         read_after(router, (enum sl_feed)id, Sl_READERS_CHECK_US);
     }
     else {
@@ -543,6 +551,7 @@
         SlLogLine_End(router, Sl_LOG_WARN);
     }
     state->failures++;
+    state->is_followed = false;
     if (must_wait_for_probe(router, feed)) {
         state->waits_for_probe = true;
     }
@@ -593,6 +602,20 @@
         MAX(router->fleet_store_answered_us, at_us);
 }
 
+/* Handles that the store has answered a read. It would have answered the other
+ * reads that are under way if it had newer records; it has said nothing about
+ * feeds that are left to the readers. */
+static void
+note_followed_current(struct sl_router *router)
+{
+    for (int i = 0; i < Sl_FEED_COUNT; i++) {
+        struct sl_feed_state *state = &router->feeds[i];
+        if (state->is_followed && state->has_snapshot) {
+            state->current_per_store_us = router->now_us;
+        }
+    }
+}
+
 /* Handles the success of a read of `feed` by this router. */
 static void
 on_store_answered(struct sl_router *router, enum sl_feed feed)
@@ -637,6 +660,7 @@
         return;
     }
     apply_records(router, event);
+    note_followed_current(router);
     if (rules[feed].follow) {
         read_after(router, feed, rules[feed].pause_us);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -437,7 +437,12 @@
     GHashTable *cache;    /* key -> struct sl_cached_record, owned */
     bool is_reading;      /* a read of the store is under way */
     int64_t read_sent_us; /* when the newest read was sent */
-    bool is_pulling;      /* a pull from a peer is under way */
+    bool is_followed;     /* a read is under way, or planned after one that was
+                             answered */
+    /* When the records here were current, according to the store; 0: not
+     * known. */
+    int64_t current_per_store_us;
+    bool is_pulling; /* a pull from a peer is under way */
     /* When the records of the peer that is pulled from were current; 0: not
      * known. */
     int64_t pulled_records_current_us;
@@ -1442,9 +1447,9 @@
 /* Returns the time in ms since the store last answered this router; UINT32_MAX
  * if it never did. */
 uint32_t SlFeeds_StoreAgeMs(const struct sl_router *router);
-/* Returns the time in ms since the store last answered this router, or a
- * router whose updates this one has, whichever is less; UINT32_MAX if it never
- * did. */
+/* Returns the time in ms since all feeds of this router were current for
+ * certain, by the store's answers or by peers; UINT32_MAX if that is not known
+ * of some feed. */
 uint32_t SlFeeds_StalenessMs(const struct sl_router *router);
 /* Returns true if this router reads the store for others. The first router by
  * rank does, in each of the domains that rank among the first three; with only
--- a/tests/unit/router_restart.cc
+++ b/tests/unit/router_restart.cc
@@ -1,6 +1,6 @@
-// Routers that start: where they get their records from, how soon they serve
-// requests, and that nothing which was removed from the store comes back with
-// them, in any order of restarts and outages of the store.
+// Routers that start, or lose the store: where they get their records from,
+// how soon they serve requests, and that nothing which was removed from the
+// store comes back, in any order of restarts and outages of the store.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -50,6 +50,7 @@
     std::vector<FleetCall> calls;    // to upstreams, of all routers
     std::map<uint64_t, int> replies; // status codes by connection
     bool u2_leaves = false;          // u2 announces that in its responses
+    std::set<size_t> store_readers;  // routers that have read the store
 
     // Starts a fleet of so many routers with three upstreams of one service,
     // and waits until all have the records.
@@ -75,6 +76,12 @@
                          upstream_record(id, "plain", "v1", 64));
         }
         fleet.advance_ms(4000);
+        store_readers.clear();
+        for (size_t i = 0; i < fleet.size(); i++) {
+            if (fleet.router(i).reads_started > 0) {
+                store_readers.insert(i);
+            }
+        }
     }
 
     // Sends a request with the API key to each router; returns the calls to
@@ -100,6 +107,16 @@
         }
     }
 
+    // Sets whether the store answers the routers that usually read it.
+    void
+    set_store_of_readers(bool is_up)
+    {
+        for (size_t reader : store_readers) {
+            fleet.router(reader).store_up = is_up;
+            fleet.router(reader).store_silent = !is_up;
+        }
+    }
+
     void
     restart_all()
     {
@@ -412,4 +429,26 @@
     } while (std::next_permutation(order.begin(), order.end()));
 }
 
+// The store does not answer its readers, twice. The other routers read it the
+// first time; a read of theirs that it holds since then is answered the second
+// time, which says nothing about the feeds that they no longer read.
+TEST_F(Restart, UsesNoWithdrawnKeyLateWhenTheReadersLoseTheStoreAgain)
+{
+    for (int64_t pause_ms = 1000; pause_ms < 10000; pause_ms += 250) {
+        fleet.~Fleet();
+        new (&fleet) Fleet();
+        calls.clear();
+        begin(6);
+        set_store_of_readers(false);
+        fleet.advance_ms(4000);
+        set_store_of_readers(true);
+        fleet.advance_ms(pause_ms);
+        set_store_of_readers(false);
+        fleet.append(Sl_FEED_OPERATORS, "config", keyed_routing(2, {"a"}));
+        fleet.advance_ms(3000);
+        EXPECT_TRUE(ask_all("b").empty()) << pause_ms << " ms";
+        EXPECT_EQ(ask_all("a").size(), fleet.size()) << pause_ms << " ms";
+    }
+}
+
 } // namespace
