router: routers kept the age of their feeds young by telling each other

Cause: a digest tells the age of its sender's feeds, and the receiver takes them for younger by the digest's latency. Change: what peers tell counts if it makes a feed younger by 100 ms or more. Why that works: an answer of the store makes feeds younger by more than that; a latency does not, so steps no longer add up from router to router.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -57,6 +57,10 @@
 /* Further time before a router of a large domain pulls from another domain, as
  * many routers of its domain may be behind at the same time. */
 #define Sl_BEHIND_OTHER_DOMAIN_US (600 * Sl_US_PER_MS)
+/* Least step by which peers make the time younger at which a feed was current.
+ * What a digest tells gets younger by its latency; in smaller steps, routers
+ * that tell each other would keep it young without end. */
+#define Sl_FRESHNESS_STEP_US (100 * Sl_US_PER_MS)
 /* Longest wait of a read by a router without live peers, as there is no peer
  * whose digest could show that the read has missed an update. */
 #define Sl_NO_PEERS_WAIT_US Sl_US_PER_S
@@ -801,9 +805,9 @@
     note_store_answered(router, as_of_us);
     for (size_t i = 0; i < Sl_GOSSIP_FEED_COUNT; i++) {
         struct sl_feed_state *state = &router->feeds[i];
-        if (state->has_snapshot && digest->offsets[i] <= state->next_offset) {
-            state->current_per_peers_us =
-                MAX(state->current_per_peers_us, as_of_us);
+        if (state->has_snapshot && digest->offsets[i] <= state->next_offset &&
+            as_of_us - state->current_per_peers_us >= Sl_FRESHNESS_STEP_US) {
+            state->current_per_peers_us = as_of_us;
         }
     }
 }
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -58,6 +58,8 @@
     // Time that a peer needs to transfer a snapshot; it serves one router
     // after the other.
     int64_t snapshot_transfer_us = 0;
+    // Time that a digest is under way, beyond the next step.
+    int64_t digest_latency_us = 0;
     // VMs that a starting router contacts first.
     std::vector<std::string> seeds;
 
@@ -250,6 +252,7 @@
         size_t router;
         std::string address;
         std::shared_ptr<struct sl_gossip_digest> digest;
+        int64_t due_us;
     };
     struct pending_pull {
         size_t router;
@@ -354,7 +357,8 @@
                     {router,
                      text(SlName_Str(effect.u.send_digest.addresses[i])),
                      std::make_shared<struct sl_gossip_digest>(
-                         *effect.u.send_digest.digest)});
+                         *effect.u.send_digest.digest),
+                     now_us + digest_latency_us});
             }
             break;
         case Sl_ROUTER_EFFECT_PULL:
@@ -444,7 +448,10 @@
     deliver_digests()
     {
         std::deque<pending_digest> due;
-        due.swap(digests);
+        while (!digests.empty() && digests.front().due_us <= now_us) {
+            due.push_back(std::move(digests.front()));
+            digests.pop_front();
+        }
         for (const pending_digest &sent : due) {
             if (encodes_digests) {
                 pass_through_datagram(sent.digest.get());
--- a/tests/unit/router_restart.cc
+++ b/tests/unit/router_restart.cc
@@ -451,4 +451,37 @@
     }
 }
 
+// The readers are cut off. What the others tell each other of the last time at
+// which their feeds were current gets younger on the way: it must not do so
+// without end.
+TEST_F(Restart, UsesNoWithdrawnKeyLateWhenTheReadersAreCutOff)
+{
+    // Requests at all routers let these tell their load often.
+    const int64_t request_ms = 5;
+    for (int64_t phase_ms = 0; phase_ms < 1650; phase_ms += 150) {
+        fleet.~Fleet();
+        new (&fleet) Fleet();
+        calls.clear();
+        begin(60);
+        fleet.digest_latency_us = 20 * Sl_US_PER_MS;
+        fleet.advance_ms(phase_ms);
+        set_store_of_readers(false);
+        fleet.is_delivered = [this](size_t from, size_t to) {
+            return store_readers.count(from) == 0 &&
+                   store_readers.count(to) == 0;
+        };
+        fleet.append(Sl_FEED_OPERATORS, "config", keyed_routing(2, {"a"}));
+        for (size_t i = 0; i < 3000 / request_ms; i++) {
+            fleet.send_request(i % fleet.size(), "/s/x", "", 1000, "m", 0,
+                               "a");
+            fleet.advance_ms(request_ms);
+        }
+        calls.clear();
+        for (const FleetCall &call : ask_all("b")) {
+            EXPECT_EQ(store_readers.count(call.router), 1u)
+                << phase_ms << " ms, router " << call.router;
+        }
+    }
+}
+
 } // namespace
