router: events with long ids were dropped as ones that the client has

Cause: event_id() read an id up to the digit with which the number reached 2^31, so that ids of 11 digits and more that begin alike were equal, and forward_events() drops an event whose id is not above the last one. A resumed call got the shortened number, and a client's Last-Event-Id above 10^12 counted as absent.

Change: ids stay text from the upstream to the client and back. Decimal numbers of any length are compared by value, other ids for equality only. After an id that no header can hold, the stream is cut instead of resumed; that, and an event that comes again in a stream that was not resumed, are logged. As nothing shortens an id, two different ids can't be equal.

--- a/lib/router/sl_event_splitter.c
+++ b/lib/router/sl_event_splitter.c
@@ -13,10 +13,24 @@
     SlBuf_Append(&splitter->pending, bytes);
 }
 
-/* Returns the number in the event's first "id:" line; -1 if there is no such
- * line, or no digit in it. Ends at the digit with which the number reaches
- * G_MAXINT32, so that it cannot overflow. */
-static int64_t
+/* Returns `text` without the spaces and carriage returns around it. */
+static struct sl_str
+trim(struct sl_str text)
+{
+    while (text.len > 0 && text.ptr[0] == ' ') {
+        text.ptr++;
+        text.len--;
+    }
+    while (text.len > 0 &&
+           (text.ptr[text.len - 1] == ' ' || text.ptr[text.len - 1] == '\r')) {
+        text.len--;
+    }
+    return text;
+}
+
+/* Returns the value of the event's first "id:" line; empty if there is no such
+ * line, or nothing in it. */
+static struct sl_str
 event_id(struct sl_str event)
 {
     size_t offset = 0;
@@ -25,21 +39,11 @@
         const char *end = memchr(line, '\n', event.len - offset);
         size_t len = end == NULL ? event.len - offset : (size_t)(end - line);
         if (len > 3 && memcmp(line, "id:", 3) == 0) {
-            int64_t id = 0;
-            size_t digit = line[3] == ' ' ? 4 : 3;
-            if (digit >= len || !g_ascii_isdigit(line[digit])) {
-                return -1;
-            }
-            for (; digit < len && g_ascii_isdigit(line[digit]) &&
-                   id < G_MAXINT32;
-                 digit++) {
-                id = id * 10 + (line[digit] - '0');
-            }
-            return id;
+            return trim((struct sl_str){line + 3, len - 3});
         }
         offset += len + 1;
     }
-    return -1;
+    return Sl_STR("");
 }
 
 /* Returns the length of the first event, its empty line included; 0 if the
@@ -65,7 +69,7 @@
 
 bool
 SlEventSplitter_Next(struct sl_event_splitter *splitter, size_t *offset,
-                     struct sl_str *event, int64_t *id)
+                     struct sl_str *event, struct sl_str *id)
 {
     struct sl_str rest = {splitter->pending.ptr + *offset,
                           splitter->pending.len - *offset};
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -224,6 +224,45 @@
     }
 }
 
+/* Logs, once for a request, that its upstream sent an event again that the
+ * client has, although the stream was not resumed. */
+static void
+note_repeat(struct sl_router *router, struct sl_routed_request *request,
+            struct sl_str id)
+{
+    if (request->repeat_logged || request->possible_runs > 0 ||
+        request->incoming.last_event.len > 0) {
+        return;
+    }
+    request->repeat_logged = true;
+    SlLogLine_BeginFor(router, "event_repeated", request);
+    SlLogLine_Name(router, "upstream",
+                   &request->upstream_call.upstream->registration.id);
+    SlLogLine_EventId(router, "id", id);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
+    SlLogLine_End(router, Sl_LOG_WARN);
+}
+
+/* Records the id of an event that is forwarded. After an id that cannot be
+ * sent in a request, no upstream can resume the stream. */
+static void
+set_last_event(struct sl_router *router, struct sl_routed_request *request,
+               struct sl_str id)
+{
+    if (SlEventId_IsSendable(id)) {
+        SlBuf_Clear(&request->last_event);
+        SlBuf_Append(&request->last_event, id);
+    }
+    else if (request->is_retryable) {
+        request->is_retryable = false;
+        SlLogLine_BeginFor(router, "event_id_unusable", request);
+        SlLogLine_Name(router, "upstream",
+                       &request->upstream_call.upstream->registration.id);
+        SlLogLine_Int(router, "bytes", (int64_t)id.len);
+        SlLogLine_End(router, Sl_LOG_WARN);
+    }
+}
+
 /* Forwards the stream's whole events to the client, but for those that the
  * client has from an earlier attempt. */
 static void
@@ -231,7 +270,7 @@
 {
     struct sl_upstream_call *call = &request->upstream_call;
     struct sl_str event;
-    int64_t id;
+    struct sl_str id;
     size_t offset = 0;
     while (SlEventSplitter_Next(&call->events, &offset, &event, &id)) {
         note_progress(router, call);
@@ -240,7 +279,9 @@
             call->upstream->later_event_us = router->now_us;
         }
         call->has_event = true;
-        if (id >= 0 && id <= request->last_event) {
+        if (id.len > 0 && request->last_event.len > 0 &&
+            SlEventId_IsAtMost(id, SlBuf_Str(&request->last_event))) {
+            note_repeat(router, request, id);
             continue; /* the client has this event already */
         }
         SlRouterMetrics_OnEvent(
@@ -258,8 +299,8 @@
             SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_REPLY_CHUNK);
         send->u.chunk.conn = request->conn;
         send->u.chunk.bytes = event;
-        if (id >= 0) {
-            request->last_event = id;
+        if (id.len > 0) {
+            set_last_event(router, request, id);
         }
     }
     call->processed_bytes = offset;
@@ -311,7 +352,7 @@
     SlLogLine_Int(router, "bytes",
                   (int64_t)request->upstream_call.buffered_bytes);
     SlLogLine_Int(router, "all_bytes", (int64_t)router->buffered_bytes);
-    SlLogLine_Int(router, "last_event", request->last_event);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
     SlLogLine_End(router, Sl_LOG_WARN);
     SlRouterMetrics_OnCallFailed(router, request, "too_large");
     SlUpstreams_OnFailure(router, upstream);
@@ -369,7 +410,7 @@
     SlLogLine_Int(router, "runs", request->possible_runs + 1);
     SlLogLine_Int(router, "took_ms",
                   (router->now_us - request->arrived_us) / Sl_US_PER_MS);
-    SlLogLine_Int(router, "last_event", request->last_event);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
     SlLogLine_End(router, Sl_LOG_INFO);
     SlRouterMetrics_OnEnd(router, request->route, "passed",
                           router->now_us - request->arrived_us);
@@ -401,7 +442,7 @@
                   (router->now_us - request->upstream_call.sent_us) /
                       Sl_US_PER_MS);
     SlLogLine_Int(router, "begun", request->upstream_call.has_begun);
-    SlLogLine_Int(router, "last_event", request->last_event);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -64,7 +64,7 @@
                   (router->now_us - request->arrived_us) / Sl_US_PER_MS);
     SlLogLine_Int(router, "runs", request->possible_runs);
     SlLogLine_Int(router, "tries", request->calls_sent);
-    SlLogLine_Int(router, "last_event", request->last_event);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
     SlLogLine_Int(router, "waiting", (int64_t)router->request_queue->length);
     SlFeeds_LogStoreAge(router);
     SlLogLine_End(router, Sl_LOG_INFO);
@@ -111,6 +111,7 @@
     struct sl_routed_request *request = data;
     SlRouting_Unref(request->routing);
     SlBuf_Free(&request->text);
+    SlBuf_Free(&request->last_event);
     SlBuf_Free(&request->upstream_call.headers);
     SlBuf_Free(&request->upstream_call.body);
     SlEventSplitter_Free(&request->upstream_call.events);
@@ -218,9 +219,10 @@
                             struct sl_buf *text)
 {
     struct sl_str *const views[] = {
-        &incoming->id,      &incoming->method,  &incoming->target,
-        &incoming->host,    &incoming->api_key, &incoming->model,
-        &incoming->session, &incoming->headers, &incoming->body,
+        &incoming->id,         &incoming->method,  &incoming->target,
+        &incoming->host,       &incoming->api_key, &incoming->model,
+        &incoming->session,    &incoming->headers, &incoming->body,
+        &incoming->last_event,
     };
     size_t offsets[G_N_ELEMENTS(views)];
     for (size_t i = 0; i < G_N_ELEMENTS(views); i++) {
@@ -400,7 +402,7 @@
                   (request->deadline_us - router->now_us) / Sl_US_PER_MS);
     SlLogLine_Int(router, "prompt_tokens", request->incoming.prompt_tokens);
     add_prompt_parts(router, &request->incoming);
-    SlLogLine_Int(router, "last_event", request->incoming.last_event);
+    SlLogLine_EventId(router, "last_event", request->incoming.last_event);
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
@@ -439,7 +441,7 @@
     request->is_retryable =
         route->kind == Sl_ROUTE_IDEMPOTENT ||
         (route->kind == Sl_ROUTE_STREAM && route->resumable);
-    request->last_event = incoming->last_event;
+    SlBuf_Append(&request->last_event, incoming->last_event);
     request->escalated_confidence = -1; /* no response was discarded yet */
     SlPromptGuard_SetKeys(request);
     g_hash_table_insert(router->routed_requests, &request->conn, request);
@@ -470,7 +472,7 @@
     SlLogLine_BeginLast(router, "caller_gone", request, true);
     SlLogLine_Int(router, "after_ms",
                   (router->now_us - request->arrived_us) / Sl_US_PER_MS);
-    SlLogLine_Int(router, "last_event", request->last_event);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
     SlLogLine_C(router, "state", state_name(request->state));
     SlLogLine_End(router, Sl_LOG_INFO);
     SlRouterMetrics_OnEnd(router, request->route, "caller_gone",
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -211,7 +211,8 @@
     struct sl_str model;   /* "*": the router chooses one of the route's */
     struct sl_str session; /* id that the client gives related requests */
     int64_t deadline_us;   /* from its arrival; 0: none */
-    int64_t last_event;    /* resume after this event; -1: from the start */
+    struct sl_str
+        last_event; /* resume after this event; empty: from the start */
     int64_t prompt_tokens;
     int64_t output_tokens;
     int64_t expected_output_tokens; /* the client's estimate */
@@ -369,10 +370,11 @@
     struct sl_str target;
     struct sl_str headers; /* of the client's request */
     struct sl_str body;
-    struct sl_str model;   /* empty: none */
-    struct sl_name team;   /* empty: none */
-    int64_t deadline_us;   /* from now */
-    int64_t last_event;    /* resume after this event; -1: from the start */
+    struct sl_str model; /* empty: none */
+    struct sl_name team; /* empty: none */
+    int64_t deadline_us; /* from now */
+    struct sl_str
+        last_event;        /* resume after this event; empty: from the start */
     int64_t priority;      /* for engines; 0 is the most urgent, -1: none */
     bool fresh_connection; /* use no connection of an earlier call */
     int64_t connect_timeout_us;
--- a/lib/router/sl_router_effects.c
+++ b/lib/router/sl_router_effects.c
@@ -134,6 +134,14 @@
     SlBuf_Printf(&router->line, "%" G_GINT64_FORMAT, (gint64)value);
 }
 
+void
+SlLogLine_Number(struct sl_router *router, const char *key,
+                 struct sl_str digits)
+{
+    add_key(router, key);
+    SlBuf_Append(&router->line, digits);
+}
+
 void
 SlLogLine_Error(struct sl_router *router, const struct sl_error *err)
 {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -299,11 +299,12 @@
 void SlEventSplitter_Append(struct sl_event_splitter *splitter,
                             struct sl_str bytes);
 /* Sets `event` to the next whole event, its empty line included, and `id` to
- * its numeric id; -1: it has none. Returns false if there is no whole event.
- * `event` is valid until bytes are appended or consumed. `offset` is kept by
- * the caller: it starts at 0 and is advanced to the end of the event. */
+ * its id as the upstream wrote it; empty: it has none. Returns false if there
+ * is no whole event. `event` and `id` are valid until bytes are appended or
+ * consumed. `offset` is kept by the caller: it starts at 0 and is advanced to
+ * the end of the event. */
 bool SlEventSplitter_Next(struct sl_event_splitter *splitter, size_t *offset,
-                          struct sl_str *event, int64_t *id);
+                          struct sl_str *event, struct sl_str *id);
 /* Removes the first `offset` bytes. The caller sets its offset to 0 then. */
 void SlEventSplitter_Consume(struct sl_event_splitter *splitter,
                              size_t offset);
@@ -311,6 +312,14 @@
 void SlEventSplitter_Clear(struct sl_event_splitter *splitter);
 void SlEventSplitter_Free(struct sl_event_splitter *splitter);
 
+/* Returns true if an event with this id is not after the event `other`. Ids
+ * that are decimal numbers, of any length, are compared by value; any others
+ * have no order and are only compared for equality. */
+bool SlEventId_IsAtMost(struct sl_str id, struct sl_str other);
+/* Returns true if a Last-Event-Id header can hold the id, so that the stream
+ * can be resumed after this event. */
+bool SlEventId_IsSendable(struct sl_str id);
+
 /* ---- requests ---- */
 
 /* Upstreams that are recorded as tried, per request at most. */
@@ -398,8 +407,9 @@
                                  retry from the budget */
     bool counted_as_evidence; /* a response counted as evidence on a version */
     bool is_retryable;        /* it may run more than once */
-    int64_t last_event;   /* id of the newest event that the client has; -1:
-                             none */
+    /* Id of the newest event that the client has; empty: none. */
+    struct sl_buf last_event;
+    bool repeat_logged;   /* an event that the upstream repeated was logged */
     int64_t forwarded_us; /* when an event was last forwarded */
     size_t tried_count;
     struct sl_name tried[Sl_MAX_TRIED_UPSTREAMS]; /* ids of upstreams */
@@ -685,6 +695,13 @@
                     const struct sl_name *value);
 void SlLogLine_C(struct sl_router *router, const char *key, const char *value);
 void SlLogLine_Int(struct sl_router *router, const char *key, int64_t value);
+/* Adds a number of any length, given as decimal digits without leading zeros.
+ */
+void SlLogLine_Number(struct sl_router *router, const char *key,
+                      struct sl_str digits);
+/* Adds an event's id: a number if it is one, -1 if it is empty, else text. */
+void SlLogLine_EventId(struct sl_router *router, const char *key,
+                       struct sl_str id);
 /* Adds the members that describe the error. */
 void SlLogLine_Error(struct sl_router *router, const struct sl_error *err);
 /* Completes the line and appends it to the effects. */
--- a/lib/router/sl_stall_monitor.c
+++ b/lib/router/sl_stall_monitor.c
@@ -218,7 +218,7 @@
     SlLogLine_Int(router, "others_ms",
                   state->others_progress_us / Sl_US_PER_MS);
     SlLogLine_Int(router, "attempts_left", state->attempts_left);
-    SlLogLine_Int(router, "last_event", request->last_event);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -42,7 +42,8 @@
     SlLogLine_Str(router, "model", SlRoutedRequest_Model(request));
     SlLogLine_Int(router, "try", request->calls_sent);
     SlLogLine_Int(router, "runs_before", request->possible_runs);
-    SlLogLine_Int(router, "resumes_after", request->last_event);
+    SlLogLine_EventId(router, "resumes_after",
+                      SlBuf_Str(&request->last_event));
     SlLogLine_Int(router, "repeats_left",
                   (int64_t)SlRetryBudget_Remaining(
                       router, &request->service->name, Sl_RETRY_FAILURE));
@@ -97,7 +98,7 @@
     effect_call->team =
         request->team != NULL ? request->team->name : SlName_Of("");
     effect_call->deadline_us = request->deadline_us - router->now_us;
-    effect_call->last_event = request->last_event;
+    effect_call->last_event = SlBuf_Str(&request->last_event);
     effect_call->priority =
         request->service->is_engine ? request->priority : -1;
     /* The upstream may be closing a connection of an earlier call. A request
