config: a configuration with a long host or path was rejected whole

Callers saw a router that went on with the configuration before (CONFIG): a key that was taken away still worked, added routes got 404, and a router that restarted was never ready.

Cause: hosts and prefixes were names of at most 63 bytes; a longer one made decode_routing() reject the manifest, and SlRouting_Match() had the same limit. The same class: lists were cut at 8 items, an integer beyond 64 bits made a manifest unreadable, integers beyond 2^53 were rounded, zones beyond the 32nd were ignored.

Change: the table owns hosts, prefixes and lists of any length. Names grow to 255 bytes, the longest key of the store; longer ones are refused with a reason. A configuration that cannot be decoded is logged as an error with the version in force, and a gauge shows it.

--- a/lib/common/sl_common.h
+++ b/lib/common/sl_common.h
@@ -47,8 +47,9 @@
 #define Sl_STR(literal) ((struct sl_str){(literal), sizeof(literal) - 1})
 
 /* Maximum length of an identifier: the name of a team, session, kind of
- * request, version, upstream or VM, or a key. */
-#define Sl_NAME_MAX_BYTES 63
+ * request, version, upstream or VM, or a key. Keys of the platform's store
+ * have the same limit, so that any of them is a valid identifier. */
+#define Sl_NAME_MAX_BYTES 255
 
 /* An identifier that is stored inline, so that structs which contain one need
  * no destructor. `text` is always NUL-terminated. */
@@ -61,6 +62,9 @@
 struct sl_str SlStr_FromC(const char *text);
 bool SlStr_Equal(struct sl_str a, struct sl_str b);
 bool SlStr_StartsWith(struct sl_str text, struct sl_str prefix);
+/* Returns true if `text` has a byte that no header or log line may hold as it
+ * is: one below 0x20, or 0x7f. */
+bool SlStr_HasControlBytes(struct sl_str text);
 
 /* Returns false, and leaves `name` empty, if `text` is longer than
  * Sl_NAME_MAX_BYTES or contains a NUL or control byte. */
--- a/lib/common/sl_json.c
+++ b/lib/common/sl_json.c
@@ -8,7 +8,7 @@
 /* Buffer size for the part of an error message that gives the allowed
  * values. */
 #define Sl_ALLOWED_MAX_BYTES 200
-#define Sl_ALLOWED_NAME "a text of 1 to 63 bytes"
+#define Sl_ALLOWED_NAME "a text of 1 to 255 bytes"
 
 /* ---- helpers ---- */
 
--- a/lib/common/sl_str.c
+++ b/lib/common/sl_str.c
@@ -63,18 +63,24 @@
 }
 
 bool
-SlName_Set(struct sl_name *name, struct sl_str text)
+SlStr_HasControlBytes(struct sl_str text)
 {
-    memset(name, 0, sizeof(*name));
-    if (text.len > Sl_NAME_MAX_BYTES) {
-        return false;
-    }
     for (size_t i = 0; i < text.len; i++) {
         unsigned char byte = (unsigned char)text.ptr[i];
         if (byte < 0x20 || byte == 0x7f) {
-            return false;
+            return true;
         }
     }
+    return false;
+}
+
+bool
+SlName_Set(struct sl_name *name, struct sl_str text)
+{
+    memset(name, 0, sizeof(*name));
+    if (text.len > Sl_NAME_MAX_BYTES || SlStr_HasControlBytes(text)) {
+        return false;
+    }
     if (text.len > 0) {
         memcpy(name->text, text.ptr, text.len);
     }
--- a/lib/config/sl_config_value.c
+++ b/lib/config/sl_config_value.c
@@ -15,7 +15,7 @@
 #define Sl_DEFAULT_LIMIT 16 /* concurrent requests */
 #define Sl_DEFAULT_QUALITY 0.5
 /* Buffer size for the part of an error message that names the value. */
-#define Sl_WHERE_MAX_BYTES 128
+#define Sl_WHERE_MAX_BYTES (Sl_NAME_MAX_BYTES + 32)
 
 /* ---- helpers ---- */
 
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -371,10 +371,27 @@
     SlLogLine_Str(router, "key", record->key);
     SlLogLine_Int(router, "offset", (int64_t)record->offset);
     SlLogLine_Error(router, &record->u.err);
-    SlLogLine_End(router, Sl_LOG_WARN);
+    if (record->key_type == Sl_RECORD_ROUTING) {
+        /* An older configuration stays in force, or none. */
+        router->refused_routing_offset =
+            MAX(router->refused_routing_offset, record->offset + 1);
+        SlLogLine_Int(
+            router, "config_in_force",
+            router->routing == NULL ? -1 : SlRouting_Version(router->routing));
+        SlLogLine_End(router, Sl_LOG_ERROR);
+    }
+    else {
+        SlLogLine_End(router, Sl_LOG_WARN);
+    }
     SlRouterMetrics_OnUnreadableRecord(router, feed);
 }
 
+bool
+SlFeeds_IsConfigurationRefused(const struct sl_router *router)
+{
+    return router->refused_routing_offset > router->routing_offset;
+}
+
 static void
 apply_routing(struct sl_router *router, const struct sl_record *record)
 {
--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -325,7 +325,9 @@
     }
     if (router->routing == NULL) {
         refuse_incoming(router, incoming, 503, "configuration",
-                        "no configuration is known yet",
+                        SlFeeds_IsConfigurationRefused(router)
+                            ? "the configuration cannot be decoded"
+                            : "no configuration is known yet",
                         Sl_RETRY_AFTER_START_US);
         return NULL;
     }
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -61,7 +61,7 @@
 };
 
 /* Failure domains whose regions a router is configured with. */
-#define Sl_MAX_DOMAINS 32
+#define Sl_MAX_DOMAINS 64
 
 struct sl_domain {
     struct sl_name name;
@@ -123,8 +123,10 @@
 const char *SlFeed_Name(enum sl_feed feed);
 
 enum sl_record_type {
-    Sl_RECORD_OTHER,      /* not used by routers */
-    Sl_RECORD_UNREADABLE, /* cannot be decoded; `err` has the reason */
+    Sl_RECORD_OTHER, /* not used by routers */
+    /* Cannot be decoded; `err` has the reason, and `key_type` the type that
+     * its key stands for. */
+    Sl_RECORD_UNREADABLE,
     Sl_RECORD_ROUTING,
     Sl_RECORD_ROLLOUT,
     Sl_RECORD_EVACUATION,
@@ -178,6 +180,7 @@
     struct sl_str value; /* as stored; empty when the key was dropped */
     bool dropped;        /* the key no longer has a record */
     enum sl_record_type type;
+    enum sl_record_type key_type; /* of an unreadable record */
     union {
         struct sl_routing *routing; /* the event's; the router adds a ref */
         struct sl_rollout_order rollout;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -512,8 +512,11 @@
     struct sl_routing *routing; /* the configuration; NULL until one is
                                    known */
     uint64_t routing_offset;    /* of its record */
-    int64_t routing_us;         /* when it was applied */
-    GHashTable *evacuated;      /* domain name -> itself, owned */
+    /* One more than the offset of the newest configuration that could not be
+     * decoded; 0: none. */
+    uint64_t refused_routing_offset;
+    int64_t routing_us;    /* when it was applied */
+    GHashTable *evacuated; /* domain name -> itself, owned */
 
     GHashTable *upstreams;        /* id -> struct sl_router_upstream, owned */
     size_t expiring_count;        /* upstreams with a `removal_due_us` */
@@ -609,6 +612,7 @@
     Sl_ROUTER_METRIC_UPSTREAMS,
     Sl_ROUTER_METRIC_FLEET,
     Sl_ROUTER_METRIC_CONFIGURATION,
+    Sl_ROUTER_METRIC_CONFIGURATION_REFUSED,
     Sl_ROUTER_METRIC_STORE_AGE,
     Sl_ROUTER_METRIC_READY,
     Sl_ROUTER_METRIC_LOG_DROPPED,
@@ -1459,6 +1463,9 @@
 /* Adds the member `store_age_ms` to the current log line: the time since the
  * store last answered this router; -1: it never did. */
 void SlFeeds_LogStoreAge(struct sl_router *router);
+/* Returns true if the newest configuration could not be decoded, so that an
+ * older one is in force, or none. */
+bool SlFeeds_IsConfigurationRefused(const struct sl_router *router);
 /* Logs when this router begins or stops reading the store itself. */
 void SlFeeds_LogReaderChange(struct sl_router *router);
 /* Returns the time in ms since the store last answered this router; UINT32_MAX
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -179,6 +179,13 @@
          "before the first.",
          {NULL},
          NULL},
+    [Sl_ROUTER_METRIC_CONFIGURATION_REFUSED] =
+        {"sassafrasledge_configuration_refused",
+         Sl_METRIC_GAUGE,
+         "1 while the newest configuration cannot be decoded, so that an "
+         "older one is in force, or none.",
+         {NULL},
+         NULL},
     [Sl_ROUTER_METRIC_STORE_AGE] =
         {"sassafrasledge_store_age_seconds",
          Sl_METRIC_GAUGE,
@@ -426,6 +433,8 @@
               router->routing == NULL
                   ? -1
                   : (double)SlRouting_Version(router->routing));
+    set_gauge(router, Sl_ROUTER_METRIC_CONFIGURATION_REFUSED,
+              SlFeeds_IsConfigurationRefused(router) ? 1 : 0);
     set_gauge(router, Sl_ROUTER_METRIC_STORE_AGE,
               age_ms == UINT32_MAX
                   ? -1
--- a/lib/routing/sl_routing.h
+++ b/lib/routing/sl_routing.h
@@ -19,12 +19,8 @@
 
 /* ---- 1. Types --------------------------------------------------------- */
 
-/* Maximum number of models of a route or service. */
-#define Sl_MAX_MODELS 8
-/* Maximum number of services between which the traffic of a route is split. */
-#define Sl_MAX_TARGETS 8
-/* Maximum number of regions to which a route or team is restricted. */
-#define Sl_MAX_REGIONS 8
+/* The arrays and views in the following structs belong to the table. The
+ * functions that add to it copy them. */
 
 struct sl_model {
     struct sl_name name;
@@ -48,7 +44,7 @@
     int64_t memory_tokens;
     int64_t tokens_per_event; /* generated tokens in an event of a stream */
     size_t model_count;
-    struct sl_model models[Sl_MAX_MODELS]; /* smallest first */
+    struct sl_model *models; /* smallest first */
 };
 
 /* How often a request may be run. */
@@ -70,8 +66,8 @@
  * handled. */
 struct sl_route {
     struct sl_name name;
-    struct sl_name host;
-    struct sl_name prefix; /* of the path; begins and ends with a slash */
+    struct sl_str host;
+    struct sl_str prefix; /* of the path; begins and ends with a slash */
     enum sl_route_kind kind;
     bool resumable;     /* streams: another upstream may continue a stream */
     bool is_public;     /* clients need no API key */
@@ -85,11 +81,11 @@
     int64_t priority;     /* 0 is the most urgent */
     int64_t max_attempts; /* attempts that ran or may have run, per request */
     size_t model_count;   /* 0: the client names the model */
-    struct sl_name models[Sl_MAX_MODELS]; /* smallest first */
+    struct sl_name *models; /* smallest first */
     size_t target_count;
-    struct sl_route_target targets[Sl_MAX_TARGETS];
+    struct sl_route_target *targets;
     size_t region_count; /* 0: any region */
-    struct sl_name regions[Sl_MAX_REGIONS];
+    struct sl_name *regions;
 };
 
 /* A group of clients, which have API keys of the team. */
@@ -97,7 +93,7 @@
     struct sl_name name;
     int64_t priority;    /* -1: that of the route */
     size_t region_count; /* 0: any region */
-    struct sl_name regions[Sl_MAX_REGIONS];
+    struct sl_name *regions;
 };
 
 /* Limits on the sizes and times of clients' requests. */
--- a/programs/sassafrasctl.c
+++ b/programs/sassafrasctl.c
@@ -172,7 +172,7 @@
         }
     }
     if (!SlName_Set(&by, SlStr_FromC(options->by)) || SlName_IsEmpty(&by)) {
-        return report_usage("--by is not a string of 1 to 63 bytes: ",
+        return report_usage("--by is not a string of 1 to 255 bytes: ",
                             options->by);
     }
     if (options->timeout_ms <= 0 || options->wait_ms < 0) {
--- a/programs/settings.c
+++ b/programs/settings.c
@@ -56,7 +56,7 @@
     struct sl_error ignored;
     if (SlJson_Name(json, key, true, where, out, &ignored) != Sl_OK) {
         return set_invalid_value(where, key, json_object_get(json, key),
-                                 "a string of 1 to 63 bytes", err);
+                                 "a string of 1 to 255 bytes", err);
     }
     return Sl_OK;
 }
--- a/programs/settings.h
+++ b/programs/settings.h
@@ -1,7 +1,7 @@
 /*
  * Settings of an entry or agent: one JSON object, which is checked completely
  * before the process listens or connects anywhere. Addresses are "IP:PORT",
- * names have 1 to 63 bytes.
+ * names have 1 to 255 bytes.
  *
  * | key | role | meaning |
  * |---|---|---|
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -209,6 +209,24 @@
     }
 }
 
+// Guards against parts of prompts that are equal because their ids are cut to
+// 64 bits.
+TEST_F(PlatformHeaders, LongPromptPartIdsAreToldApart)
+{
+    struct sl_incoming_request request;
+    add_header(&head, "Sassafrasledge-Prefix-Hash",
+               "10000000000000001:1,20000000000000001:1,1:1,"
+               "000000000000000000001:1,ffffffffffffffff:1");
+    SlPlatform_DecodeRequest(&head, Sl_STR(""), &forwarded, &request);
+    ASSERT_EQ(request.part_count, 5u);
+    EXPECT_NE(request.parts[0].id, request.parts[1].id);
+    EXPECT_NE(request.parts[0].id, request.parts[2].id);
+    EXPECT_NE(request.parts[1].id, request.parts[2].id);
+    EXPECT_EQ(request.parts[2].id, 1u);
+    EXPECT_EQ(request.parts[3].id, 1u);
+    EXPECT_EQ(request.parts[4].id, UINT64_MAX);
+}
+
 TEST_F(PlatformHeaders, EncodesUpstreamRequest)
 {
     struct sl_router_effect_call call = {};
@@ -391,6 +409,117 @@
     EXPECT_EQ(SlRouting_TeamOfKey(routing, Sl_STR("k2"))->priority, 0);
 }
 
+// Guards against configurations that are rejected or cut for a long host,
+// path, key, name or list: the pages limit none of them.
+TEST_F(PlatformRecords, RoutingWithLongTextsIsKeptWhole)
+{
+    std::string host = std::string(253, 'h');
+    std::string path = "/" + std::string(300, 'p') + "/";
+    std::string key(500, 'k');
+    std::string name(Sl_NAME_MAX_BYTES, 'n');
+    std::string service(Sl_NAME_MAX_BYTES, 's');
+    std::string shares;
+    std::string services;
+    std::string names;
+    for (int i = 0; i < 20; i++) {
+        std::string each = "s" + std::to_string(i);
+        shares += (i > 0 ? "," : "") + ("{\"Service\":\"" + each) +
+                  "\",\"Weight\":1}";
+        services += ",{\"Name\":\"" + each + "\"}";
+        names += (i > 0 ? ",\"" : "\"") + each + "\"";
+    }
+    decode(Sl_FEED_OPERATORS, "config",
+           "{\"Version\":9007199254740993,\"Unknown\":123456789012345678,"
+           "\"Services\":[{\"Name\":\"" +
+               service + "\"}" + services +
+               "],"
+               "\"Routes\":[{\"Name\":\"" +
+               name + "\",\"Host\":\"" + host + "\",\"PathPrefix\":\"" + path +
+               "\",\"RouteType\":\"idempotent\","
+               "\"Service\":\"" +
+               service +
+               "\"},"
+               "{\"Name\":\"r\",\"Host\":\"h\",\"PathPrefix\":\"/\","
+               "\"RouteType\":\"idempotent\",\"Split\":[" +
+               shares +
+               "],"
+               "\"Sizes\":[" +
+               names + "],\"AllowedRegions\":[" + names +
+               "]}],"
+               "\"Tenants\":[{\"Name\":\"" +
+               name + "\",\"ApiKeys\":[\"" + key + "\"]}]}");
+    ASSERT_EQ(record.type, Sl_RECORD_ROUTING)
+        << (record.type == Sl_RECORD_UNREADABLE ? record.u.err.text : "");
+    const struct sl_routing *routing = record.u.routing;
+    EXPECT_EQ(SlRouting_Version(routing), 9007199254740993);
+    const struct sl_route *route = SlRouting_Match(
+        routing, SlStr_FromC(host.c_str()), SlStr_FromC(path.c_str()));
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(text(SlName_Str(&route->name)), name);
+    EXPECT_EQ(text(SlName_Str(SlRoute_SelectService(route, 1))), service);
+    route = SlRouting_Match(routing, Sl_STR("h"), Sl_STR("/"));
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->target_count, 20u);
+    EXPECT_EQ(route->model_count, 20u);
+    EXPECT_EQ(route->region_count, 20u);
+    const struct sl_team *team =
+        SlRouting_TeamOfKey(routing, SlStr_FromC(key.c_str()));
+    ASSERT_NE(team, nullptr);
+    EXPECT_EQ(text(SlName_Str(&team->name)), name);
+}
+
+// Guards against numbers that make a configuration unreadable, or turn into
+// others, for their size.
+TEST_F(PlatformRecords, RoutingWithLargeNumbersIsRead)
+{
+    std::string big = "99999999999999999999999999";
+    decode(Sl_FEED_OPERATORS, "config",
+           replace_once(
+               replace_once(replace_once(kRoutingJson, "20000", "1e300"),
+                            "\"ColdStartS\":3.0", "\"ColdStartS\":1e308"),
+               "\"Version\":7", "\"Version\":7,\"New\":" + big));
+    ASSERT_EQ(record.type, Sl_RECORD_ROUTING)
+        << (record.type == Sl_RECORD_UNREADABLE ? record.u.err.text : "");
+    EXPECT_EQ(SlRouting_Version(record.u.routing), 7);
+    const struct sl_route *route =
+        SlRouting_Match(record.u.routing, Sl_STR("h"), Sl_STR("/a/x"));
+    ASSERT_NE(route, nullptr);
+    EXPECT_GE(route->timeout_us, 20 * Sl_US_PER_S);
+    struct sl_name llm = SlName_Of("llm");
+    EXPECT_GE(SlRouting_FindService(record.u.routing, &llm)->cold_start_us,
+              3 * Sl_US_PER_S);
+}
+
+// A name that is too long is refused with a reason, and never cut.
+TEST_F(PlatformRecords, NamesBeyondTheLimitAreRefused)
+{
+    std::string name(Sl_NAME_MAX_BYTES + 1, 'n');
+    EXPECT_EQ(
+        decode_error(Sl_FEED_OPERATORS, "config",
+                     replace_once(kRoutingJson, "\"r1\"", "\"" + name + "\"")),
+        "\"Name\" is not a valid name");
+    EXPECT_EQ(record.key_type, Sl_RECORD_ROUTING);
+    EXPECT_EQ(
+        decode_error(Sl_FEED_OPERATORS, "config",
+                     replace_once(kRoutingJson, "\"m\"", "\"" + name + "\"")),
+        "\"Sizes\" has an item that is not a valid name");
+    EXPECT_EQ(decode_error(Sl_FEED_OPERATORS, "rollout/x",
+                           "{\"Service\":\"" + name.substr(8) +
+                               "\",\"Target\":\"v\",\"DurationS\":1e300}"),
+              "\"Service\" is too long for the key of a status");
+}
+
+// Any key of the store names an upstream.
+TEST_F(PlatformRecords, UpstreamIdsAreAsLongAsKeysOfTheStore)
+{
+    std::string id(Sl_STORE_KEY_MAX_BYTES, 'i');
+    decode(Sl_FEED_UPSTREAMS, id,
+           R"({"Service":"llm","Address":"10.0.0.1:80","Zone":"z",
+        "Version":"v1","Slots":64,"State":"ready","Sequence":4})");
+    ASSERT_EQ(record.type, Sl_RECORD_UPSTREAM);
+    EXPECT_EQ(text(SlName_Str(&record.u.upstream.id)), id);
+}
+
 TEST_F(PlatformRecords, RejectsInvalidRouting)
 {
     EXPECT_EQ(decode_error(Sl_FEED_OPERATORS, "config", "[]"),
