http client: late responses were not told apart for long request ids

A response that arrives late on a connection is known by the request's id that it echoes. The id is now kept whole.

--- a/lib/net/sl_http_client.c
+++ b/lib/net/sl_http_client.c
@@ -47,7 +47,7 @@
     struct sl_name peer;
     const char *step;
     const char *echo_header;
-    struct sl_name echo_value;
+    struct sl_buf echo_value;
     int64_t inactivity_timeout_us;
     struct sl_http_client_handlers handlers;
     bool connect_only;
@@ -254,7 +254,7 @@
     if (call->echo_header != NULL) {
         struct sl_str echoed = SlHead_FindHeader(&head, call->echo_header);
         if (echoed.len > 0 &&
-            !SlStr_Equal(echoed, SlName_Str(&call->echo_value))) {
+            !SlStr_Equal(echoed, SlBuf_Str(&call->echo_value))) {
             call->skipping_response = true;
             call->skipped_responses++;
             return call->skipped_responses <= Sl_MAX_SKIPPED_RESPONSES;
@@ -503,9 +503,7 @@
         (void)SlName_Set(&call->peer, SlStr_FromC(options->peer));
     }
     call->echo_header = options->echo_header;
-    if (!SlName_Set(&call->echo_value, options->echo_value)) {
-        call->echo_header = NULL;
-    }
+    SlBuf_Append(&call->echo_value, options->echo_value);
     call->inactivity_timeout_us = options->inactivity_timeout_us;
     call->handlers = options->handlers;
     call->connect_only = options->connect_only;
@@ -553,13 +551,21 @@
     g_queue_free(data);
 }
 
+static void
+free_call(gpointer data)
+{
+    struct sl_http_client_call *call = data;
+    SlBuf_Free(&call->echo_value);
+    g_free(call);
+}
+
 struct sl_http_client *
 SlHttpClient_New(const struct sl_http_client_options *options)
 {
     struct sl_http_client *client = g_new0(struct sl_http_client, 1);
     client->options = *options;
     client->calls =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_call);
     client->idle =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_queue);
     client->closed = g_ptr_array_new();
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -370,6 +370,7 @@
     // Options of the calls that follow.
     int64_t connect_timeout_us = 2 * Sl_US_PER_S;
     bool connect_only = false;
+    std::string echo_value = "mine";
 
     // Starts a call and returns its handle. `record` must outlive the call.
     uint64_t
@@ -385,7 +386,7 @@
         options.connect_only = connect_only;
         options.connect_timeout_us = connect_timeout_us;
         options.echo_header = "X-Id";
-        options.echo_value = Sl_STR("mine");
+        options.echo_value = {echo_value.data(), echo_value.size()};
         options.handlers = {on_head, on_chunk, on_done, record};
         return SlHttpClient_Call(client, &options);
     }
@@ -528,6 +529,24 @@
     EXPECT_EQ(first.body, "me");
 }
 
+// Guards against late responses that are taken for those of later requests,
+// because the request's id is too long to be compared.
+TEST_F(HttpClient, ComparesIdsOfAnyLength)
+{
+    std::string prefix(300, 'r');
+    echo_value = prefix + "1";
+    call_record first;
+    call(&first);
+    int fd = accept_request();
+    respond(fd, "HTTP/1.1 200 OK\r\nX-Id: " + prefix +
+                    "0\r\nContent-Length: 5\r\n\r\nother"
+                    "HTTP/1.1 201 Created\r\nX-Id: " +
+                    prefix + "1\r\nContent-Length: 2\r\n\r\nme");
+    run_until([&] { return first.done; });
+    EXPECT_EQ(first.status, 201);
+    EXPECT_EQ(first.body, "me");
+}
+
 TEST_F(HttpClient, FailsIfTheOnlyResponseIsToAnotherRequest)
 {
     call_record first;
