model cascade: pairs of models were equal whose names hold spaces

The expected gains from one model to another are kept under both names, joined by a space, which a name can hold: "a b" and "c" shared the gain of "a" and "b c". A line break, which no name can hold, joins them now.

Found by reading; without a test of its own, as the key is private to its file.

--- a/lib/router/sl_model_cascade.c
+++ b/lib/router/sl_model_cascade.c
@@ -44,7 +44,8 @@
                 const struct sl_name *second)
 {
     char key[2 * Sl_NAME_MAX_BYTES + 2];
-    g_snprintf(key, sizeof(key), "%s %s", first->text, second->text);
+    /* A name can hold a space, but no line break. */
+    g_snprintf(key, sizeof(key), "%s\n%s", first->text, second->text);
     struct sl_confidence_gain *gain =
         g_hash_table_lookup(router->confidence_gains, key);
     if (gain == NULL) {
