drain: requests that a stopped router had accepted got no answer

Cause: request_exit() ended the process at the end of the grace time and left what was in the tables.

Change: each request gets an answer before the exit: 503 with Retry-After if it was certainly not run, 502 if it may have been; a begun stream is cut. Nothing is admitted after that, and the server answers what it is reading with a 503. A grace time that the settings change while the router drains moves the exit. All requests are in one of two tables, and both are emptied on the only path to the exit, so none is left.

--- a/lib/net/sl_http_server.c
+++ b/lib/net/sl_http_server.c
@@ -20,6 +20,8 @@
  * response. Closing at once would reset a connection with unread bytes, and
  * the client might lose the response that was just written. */
 #define Sl_LINGER_US Sl_US_PER_S
+/* Retry-After of a request that is rejected because the server stops. */
+#define Sl_REJECT_RETRY_US (300 * Sl_US_PER_MS)
 
 enum sl_server_conn_state {
     Sl_CONN_READING,    /* reading a request, or waiting for the next one */
@@ -163,18 +165,27 @@
 }
 
 /* Sends an error response to a request that `on_request` does not see, and
- * closes the connection. */
+ * closes the connection. A 503 asks the client to come back soon. */
 static void
 reject_request(struct sl_server_conn *conn, int status)
 {
     struct sl_buf body = {0};
-    SlBuf_Printf(&body,
-                 "{\"outcome\":\"not-run\",\"step\":\"http.read\",\"peer\":"
-                 "\"\",\"error\":\"%s\",\"retry_after_ms\":0}\n",
-                 SlHttp_ReasonPhrase(status));
+    struct sl_buf headers = {0};
+    int64_t retry_after_us =
+        status == HTTP_STATUS_SERVICE_UNAVAILABLE ? Sl_REJECT_RETRY_US : 0;
+    SlBuf_AppendC(&headers, "Content-Type: application/json\r\n");
+    if (retry_after_us > 0) {
+        SlBuf_Printf(&headers, "Retry-After: %.3f\r\n",
+                     (double)retry_after_us / (double)Sl_US_PER_S);
+    }
+    SlBuf_Printf(
+        &body,
+        "{\"outcome\":\"not-run\",\"step\":\"http.read\",\"peer\":"
+        "\"\",\"error\":\"%s\",\"retry_after_ms\":%" G_GINT64_FORMAT "}\n",
+        SlHttp_ReasonPhrase(status), (gint64)(retry_after_us / Sl_US_PER_MS));
     conn->keep_alive = false;
-    write_response(conn, status, Sl_STR("Content-Type: application/json\r\n"),
-                   SlBuf_Str(&body));
+    write_response(conn, status, SlBuf_Str(&headers), SlBuf_Str(&body));
+    SlBuf_Free(&headers);
     SlBuf_Free(&body);
     close_after_write(conn);
 }
@@ -601,6 +612,25 @@
     g_ptr_array_free(idle, TRUE);
 }
 
+static bool
+is_reading_request(const struct sl_server_conn *conn, int64_t current_us)
+{
+    (void)current_us;
+    return conn->state == Sl_CONN_READING &&
+           (conn->reader.started ||
+            evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0);
+}
+
+void
+SlHttpServer_RejectUnread(struct sl_http_server *server)
+{
+    GPtrArray *reading = collect_conns(server, is_reading_request);
+    for (guint i = 0; i < reading->len; i++) {
+        reject_request(reading->pdata[i], HTTP_STATUS_SERVICE_UNAVAILABLE);
+    }
+    g_ptr_array_free(reading, TRUE);
+}
+
 size_t
 SlHttpServer_ConnectionCount(const struct sl_http_server *server)
 {
--- a/lib/net/sl_net.h
+++ b/lib/net/sl_net.h
@@ -137,6 +137,9 @@
 void SlHttpServer_Drain(struct sl_http_server *server);
 /* Closes the listener; open connections stay. */
 void SlHttpServer_StopAccepting(struct sl_http_server *server);
+/* Answers requests that are being read, their bodies included, with a 503 and
+ * a Retry-After, and closes their connections once that is written. */
+void SlHttpServer_RejectUnread(struct sl_http_server *server);
 /* Closes the connections that have neither an incomplete request, nor a
  * request without a complete response, nor unsent bytes. */
 void SlHttpServer_CloseIdle(struct sl_http_server *server);
--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -176,6 +176,43 @@
     }
 }
 
+static gint
+compare_arrival(gconstpointer a, gconstpointer b)
+{
+    const struct sl_routed_request *x =
+        *(const struct sl_routed_request *const *)a;
+    const struct sl_routed_request *y =
+        *(const struct sl_routed_request *const *)b;
+    return x->arrival_number < y->arrival_number ? -1 : 1;
+}
+
+void
+SlRoutedRequest_FailAll(struct sl_router *router)
+{
+    GPtrArray *requests = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->routed_requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(requests, value);
+    }
+    g_ptr_array_sort(requests, compare_arrival);
+    for (guint i = 0; i < requests->len; i++) {
+        struct sl_routed_request *request = requests->pdata[i];
+        bool may_have_run =
+            request->possible_runs > 0 || request->upstream_call.token != 0;
+        const struct sl_router_refusal refusal = {
+            .status = may_have_run ? 502 : 503,
+            .step = "drain",
+            .reason = "the router was stopped",
+            .may_have_run = may_have_run,
+            .retry_after_us = may_have_run ? 0 : Sl_RETRY_AFTER_US,
+        };
+        SlRoutedRequest_Fail(router, request, &refusal);
+    }
+    g_ptr_array_free(requests, TRUE);
+}
+
 static void
 on_deadline(void *context, uint64_t conn, int64_t now_us)
 {
@@ -318,7 +355,7 @@
       const struct sl_team **team)
 {
     *team = NULL;
-    if (router->stopped_accepting) {
+    if (router->stopped_accepting || router->exited) {
         refuse_incoming(router, incoming, 503, "drain",
                         "the router is shutting down", Sl_RETRY_AFTER_US);
         return NULL;
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -6,10 +6,6 @@
  * The load balancer stops sending them after two readiness checks a second
  * apart; this leaves a second to spare. */
 #define Sl_DRAIN_ACCEPT_US (3 * Sl_US_PER_S)
-/* Part of the grace time, from SIGTERM to SIGKILL, that is reserved for
- * exiting: requests that have not ended by then are abandoned. */
-#define Sl_DRAIN_RESERVE_US (500 * Sl_US_PER_MS)
-
 static void
 free_request(gpointer data)
 {
@@ -137,7 +133,8 @@
 
 /* ---- drain ---- */
 
-/* Requests the exit of the process, once. */
+/* Requests the exit of the process, once. Requests that have not ended get an
+ * error response first. */
 static void
 request_exit(struct sl_router *router)
 {
@@ -145,8 +142,11 @@
         router->exited = true;
         SlLogLine_Begin(router, "stopped");
         SlLogLine_Int(router, "unfinished",
-                      (int64_t)g_hash_table_size(router->routed_requests));
+                      (int64_t)g_hash_table_size(router->routed_requests) +
+                          router->startup_queue->length);
         SlLogLine_End(router, Sl_LOG_INFO);
+        SlStartupQueue_RefuseAll(router);
+        SlRoutedRequest_FailAll(router);
         SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_EXIT);
     }
 }
@@ -169,6 +169,24 @@
     request_exit(context);
 }
 
+/* Sets the timer for the exit of a router that drains. */
+static void
+set_exit_timer(struct sl_router *router)
+{
+    SlTimers_Cancel(router->timers, router->exit_timer);
+    router->exit_timer = SlTimers_Add(
+        router->timers, SlRouter_DrainEndUs(router), on_grace_end, router, 0);
+}
+
+int64_t
+SlRouter_DrainEndUs(const struct sl_router *router)
+{
+    return router->draining
+               ? router->drain_started_us + router->options.bounds.grace_us -
+                     Sl_DRAIN_RESERVE_US
+               : Sl_NEVER_US;
+}
+
 /* Begins to shut down: the load balancer and the peers learn that this router
  * leaves, requests under way are finished, and new connections are refused
  * after a while. */
@@ -188,10 +206,8 @@
     SlDigests_AnnounceLeaving(router);
     SlTimers_Add(router->timers, router->now_us + Sl_DRAIN_ACCEPT_US,
                  on_stop_accepting, router, 0);
-    SlTimers_Add(router->timers,
-                 router->now_us + router->options.bounds.grace_us -
-                     Sl_DRAIN_RESERVE_US,
-                 on_grace_end, router, 0);
+    set_exit_timer(router);
+    router->capacity_changed = true; /* some may wait too long for the drain */
 }
 
 /* ---- events ---- */
@@ -207,6 +223,9 @@
         break;
     case Sl_ROUTER_EVENT_BOUNDS:
         router->options.bounds = event->u.bounds;
+        if (router->draining) {
+            set_exit_timer(router); /* the grace time may have changed */
+        }
         SlLogLine_Begin(router, "reloaded");
         SlLogLine_End(router, Sl_LOG_INFO);
         break;
@@ -295,7 +314,7 @@
         router->has_store_updates = false;
         SlDigests_ScheduleUpdates(router);
     }
-    if (router->stopped_accepting &&
+    if (router->stopped_accepting && router->startup_queue->length == 0 &&
         g_hash_table_size(router->routed_requests) == 0) {
         request_exit(router);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -576,6 +576,7 @@
 
     bool draining; /* the router is shutting down */
     int64_t drain_started_us;
+    uint64_t exit_timer;    /* for the end of the drain */
     bool started;           /* the first event was handled */
     bool stopped_accepting; /* client connections */
     bool exited;            /* the process was told to exit */
@@ -710,6 +711,12 @@
 void SlLogLine_Error(struct sl_router *router, const struct sl_error *err);
 /* Completes the line and appends it to the effects. */
 void SlLogLine_End(struct sl_router *router, enum sl_log_level level);
+/* Part of the grace time, from SIGTERM to SIGKILL, that is reserved for
+ * exiting: requests that have not ended by then get an error response. */
+#define Sl_DRAIN_RESERVE_US (500 * Sl_US_PER_MS)
+/* Returns when a router that drains ends its last requests; Sl_NEVER_US if it
+ * does not drain. */
+int64_t SlRouter_DrainEndUs(const struct sl_router *router);
 /* Frees a request at the next event, as effects of the current one point into
  * it. */
 void SlRouter_FreeLater(struct sl_router *router,
@@ -1141,6 +1148,8 @@
 void SlStartupQueue_OnClientGone(struct sl_router *router, uint64_t conn);
 /* Starts the held requests once both are known, or that time is over. */
 void SlStartupQueue_Release(struct sl_router *router);
+/* Refuses all held requests, when the process exits. */
+void SlStartupQueue_RefuseAll(struct sl_router *router);
 /* Frees a struct sl_held_request. */
 void SlStartupQueue_FreeEntry(gpointer held);
 
@@ -1158,6 +1167,9 @@
 /* Frees a struct sl_routed_request. */
 void SlRoutedRequest_Free(gpointer request);
 /* Moves the request's deadline to `until_us` if it is earlier than that. */
+/* Ends all requests with an error response or cuts off their streams, oldest
+ * first, when the process exits. */
+void SlRoutedRequest_FailAll(struct sl_router *router);
 void SlRoutedRequest_ExtendDeadline(struct sl_router *router,
                                     struct sl_routed_request *request,
                                     int64_t until_us);
--- a/lib/router/sl_stall_monitor.c
+++ b/lib/router/sl_stall_monitor.c
@@ -231,11 +231,7 @@
     const struct sl_router_upstream *upstream =
         request->upstream_call.upstream;
     struct sl_placement placement = SlPlacement_Choose(router, request);
-    int64_t end_us = request->deadline_us;
-    if (router->draining) {
-        end_us = MIN(end_us, router->drain_started_us +
-                                 router->options.bounds.grace_us);
-    }
+    int64_t end_us = MIN(request->deadline_us, SlRouter_DrainEndUs(router));
     struct sl_stall_alternative other = {
         .exists = placement.upstream != NULL && placement.upstream != upstream,
         .first_event_us = placement.first_event_us,
--- a/lib/router/sl_startup_queue.c
+++ b/lib/router/sl_startup_queue.c
@@ -49,7 +49,7 @@
 SlStartupQueue_Add(struct sl_router *router,
                    const struct sl_incoming_request *incoming)
 {
-    if (router->now_us - router->started_us >= Sl_HOLD_US ||
+    if (router->exited || router->now_us - router->started_us >= Sl_HOLD_US ||
         router->startup_queue->length >= Sl_MAX_HELD) {
         return false;
     }
@@ -79,14 +79,10 @@
     }
 }
 
-void
-SlStartupQueue_Release(struct sl_router *router)
+/* Hands all held requests on; the router admits or refuses them. */
+static void
+start_all(struct sl_router *router)
 {
-    bool is_hold_over = router->now_us - router->started_us >= Sl_HOLD_US;
-    if (router->startup_queue->length == 0 ||
-        (SlStartupQueue_IsNeeded(router) && !is_hold_over)) {
-        return;
-    }
     struct sl_held_request *held;
     while ((held = g_queue_pop_head(router->startup_queue)) != NULL) {
         int64_t waited_us = router->now_us - held->arrived_us;
@@ -99,3 +95,21 @@
         SlStartupQueue_FreeEntry(held);
     }
 }
+
+void
+SlStartupQueue_RefuseAll(struct sl_router *router)
+{
+    assert(router->exited); /* none is admitted any more */
+    start_all(router);
+}
+
+void
+SlStartupQueue_Release(struct sl_router *router)
+{
+    bool is_hold_over = router->now_us - router->started_us >= Sl_HOLD_US;
+    if (router->startup_queue->length == 0 ||
+        (SlStartupQueue_IsNeeded(router) && !is_hold_over)) {
+        return;
+    }
+    start_all(router);
+}
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -506,6 +506,7 @@
     struct sl_router_runtime *runtime = context;
     (void)fd;
     (void)what;
+    SlHttpServer_RejectUnread(runtime->frontend);
     SlHttpServer_CloseIdle(runtime->frontend);
     if (SlHttpServer_ConnectionCount(runtime->frontend) == 0 ||
         monotonic_us() >= runtime->exit_deadline_us) {
@@ -601,6 +602,7 @@
         break;
     case Sl_ROUTER_EFFECT_EXIT:
         runtime->exit_deadline_us = monotonic_us() + Sl_EXIT_GRACE_US;
+        SlHttpServer_StopAccepting(runtime->frontend);
         exit_when_drained(-1, 0, runtime);
         break;
     default:
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -294,6 +294,27 @@
     EXPECT_EQ(receive_until_closed(), "<closed>");
 }
 
+// Guards against a request whose body is still being read when the process
+// exits, and that gets no answer.
+TEST_F(HttpServer, AnswersRequestsThatAreBeingReadAtTheExit)
+{
+    send_request("POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+    std::string head = "HTTP/1.1 503 Service Unavailable\r\n";
+    // Nothing is sent until the server has begun to read the request.
+    run_until([&] {
+        SlHttpServer_RejectUnread(server);
+        char byte;
+        return recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) > 0;
+    });
+    send_request("67890");
+    std::string out = receive_until_closed();
+    EXPECT_EQ(out.find(head), 0u) << out;
+    EXPECT_NE(out.find("\r\nRetry-After: 0.300\r\n"), std::string::npos);
+    EXPECT_NE(out.find("\r\nConnection: close\r\n"), std::string::npos);
+    EXPECT_NE(out.find("\"outcome\":\"not-run\""), std::string::npos);
+    EXPECT_TRUE(requests.empty());
+}
+
 /* ---- client ---- */
 
 // The client under test, and an upstream that consists of a listening socket
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -255,6 +255,7 @@
                               void (Script::*)(const script_line &)>
             handlers = {
                 {"start", &Script::on_start},
+                {"bounds", &Script::on_bounds},
                 {"service", &Script::on_service},
                 {"route", &Script::on_route},
                 {"team", &Script::on_team},
@@ -345,6 +346,9 @@
     {
         struct sl_bounds bounds = small_bounds();
         bounds.exposure_share = args.real("exposure", bounds.exposure_share);
+        bounds.grace_us =
+            args.number("grace", bounds.grace_us / Sl_US_PER_MS) *
+            Sl_US_PER_MS;
         simulation.max_buffered_bytes = (size_t)args.number("max-buffered");
         simulation.seeds = split(args.str("seeds"));
         simulation.is_first_start = args.has_word("first");
@@ -352,6 +356,17 @@
                          bounds, args.str("regions"));
     }
 
+    // New bounds while the router runs.
+    void
+    on_bounds(const script_line &args)
+    {
+        struct sl_router_event event =
+            simulation.make_event(Sl_ROUTER_EVENT_BOUNDS);
+        event.u.bounds = small_bounds();
+        event.u.bounds.grace_us = args.number("grace") * Sl_US_PER_MS;
+        simulation.reduce(event);
+    }
+
     void
     on_service(const script_line &args)
     {
