drain: a stopping router passed on requests that it could not finish

Reported by other operators: requests that came late in the grace time of a planned stop were taken, passed on and cut at its end, among them such as may not be repeated (LOST).

Cause: placement and queue compared the expected time with the request's own deadline only, not with the end of the drain.

Change: while it drains, a router refuses at once, with a Retry-After, what is expected to outlast it, by the mean time that requests of the service take. Another router can run it in full.

--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -96,22 +96,45 @@
     return router->now_us - *since_us >= Sl_UNSERVED_WAIT_US;
 }
 
+/* Returns the time that the request has left: until its deadline, or until the
+ * drain of this router ends. */
+static int64_t
+time_left_us(const struct sl_router *router,
+             const struct sl_routed_request *request)
+{
+    return MIN(request->deadline_us, SlRouter_DrainEndUs(router)) -
+           router->now_us;
+}
+
+/* Returns true if the router drains and the request, placed now, would not end
+ * before the process does: another router can run it instead. */
+static bool
+would_be_cut(const struct sl_router *router,
+             const struct sl_routed_request *request,
+             const struct sl_placement *placement)
+{
+    int64_t run_us = SlLatency_MeanRunUs(router, &request->service->name);
+    return router->draining &&
+           MAX(placement->first_event_us, run_us) >
+               SlRouter_DrainEndUs(router) - router->now_us;
+}
+
 /* Returns true if the request, which no upstream can take now, must be refused
- * instead of waiting. It would miss its deadline, if the upstreams can take
- * one request each `wait_us` and `ahead_count` others for the same service go
- * first. Or no upstream has served it for Sl_UNSERVED_WAIT_US: `wait_us` is
- * Sl_NEVER_US then. */
+ * instead of waiting. It would miss its deadline or outlast the drain, if the
+ * upstreams can take one request each `wait_us` and `ahead_count` others for
+ * the same service go first. Or no upstream has served it for
+ * Sl_UNSERVED_WAIT_US: `wait_us` is Sl_NEVER_US then. */
 static bool
 decide_refusal(struct sl_router *router,
                const struct sl_routed_request *request, int64_t wait_us,
                size_t ahead_count)
 {
-    int64_t time_left_us = request->deadline_us - router->now_us;
     if (wait_us == Sl_NEVER_US) {
         return note_unserved(router, &request->service->name);
     }
     int64_t run_us = SlLatency_MeanRunUs(router, &request->service->name);
-    return wait_us * (int64_t)(ahead_count + 1) + run_us / 2 > time_left_us;
+    return wait_us * (int64_t)(ahead_count + 1) + run_us / 2 >
+           time_left_us(router, request);
 }
 
 /* Logs why no upstream can take a request now. */
@@ -140,9 +163,10 @@
        const struct sl_placement *placement)
 {
     int64_t wait_us = placement->wait_us;
-    int64_t time_left_us = request->deadline_us - router->now_us;
     int64_t retry_after_us =
-        wait_us == Sl_NEVER_US ? time_left_us / 3 : wait_us;
+        placement->upstream != NULL ? 0 /* another router can send it now */
+        : wait_us == Sl_NEVER_US ? (request->deadline_us - router->now_us) / 3
+                                 : wait_us;
     retry_after_us =
         CLAMP(retry_after_us, Sl_MIN_RETRY_AFTER_US,
               placement->all_backing_off ? Sl_MAX_BACKOFF_RETRY_AFTER_US
@@ -151,7 +175,8 @@
     const struct sl_router_refusal refusal = {
         .status = may_have_run ? 502 : 503,
         .step = "placement",
-        .reason = wait_us == Sl_NEVER_US ? "no upstream can take the request"
+        .reason = router->draining         ? "the router is shutting down"
+                  : wait_us == Sl_NEVER_US ? "no upstream can take the request"
                   : placement->all_backing_off
                       ? "the upstreams asked for back-off"
                       : "the request would wait too long",
@@ -192,7 +217,11 @@
             g_hash_table_remove(router->unserved_since_us,
                                 &request->service->name);
         }
-        if (placement.upstream != NULL) {
+        if (placement.upstream != NULL &&
+            would_be_cut(router, request, &placement)) {
+            refuse(router, request, &placement);
+        }
+        else if (placement.upstream != NULL) {
             SlRequestQueue_Remove(router, request);
             SlUpstreamCall_Send(router, request, &placement);
         }
