agent: a response head without end filled the memory

Reported by other operators: a faulty runner sent bytes without end, in a head or a body, and the machine that had called it kept them all and ran out of memory.

Cause: the agents' client, on evhttp, set no limit for heads, and evhttp has none for the line that gives a chunk's size.

Change: heads and trailers have at most 64 KiB, and a call fails as too large when its connection holds over 128 KiB that evhttp has not parsed.

--- a/lib/adapters/sl_evhttp_client.c
+++ b/lib/adapters/sl_evhttp_client.c
@@ -4,6 +4,7 @@
 
 #include <assert.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -14,6 +15,12 @@
 #define Sl_MAX_IDLE_PER_ADDRESS 64
 /* Largest body of a response; a larger one fails with Sl_ERR_TOO_LARGE. */
 #define Sl_MAX_RESPONSE_BYTES ((ev_ssize_t)64 * 1024 * 1024)
+/* Largest head of a response, and largest trailer. */
+#define Sl_MAX_RESPONSE_HEAD_BYTES ((ev_ssize_t)64 * 1024)
+/* Largest number of received bytes that evhttp has not parsed. It waits for
+ * the end of the line that gives a chunk's size, and has no limit of its own
+ * for that line. */
+#define Sl_MAX_UNPARSED_BYTES ((size_t)2 * Sl_MAX_RESPONSE_HEAD_BYTES)
 /* Longest "IP:PORT". */
 #define Sl_ADDRESS_MAX_BYTES 63
 #define Sl_HTTP_OK 200
@@ -167,6 +174,8 @@
         client->base, NULL, host, (unsigned short)port);
     if (connection != NULL) {
         evhttp_connection_set_max_body_size(connection, Sl_MAX_RESPONSE_BYTES);
+        evhttp_connection_set_max_headers_size(connection,
+                                               Sl_MAX_RESPONSE_HEAD_BYTES);
     }
     return connection;
 }
@@ -229,6 +238,19 @@
     }
 }
 
+/* Runs `callback` from the event loop, instead of one that was deferred
+ * before. */
+static void
+defer(struct sl_evhttp_call *call, event_callback_fn callback)
+{
+    const struct timeval now = {0, 0};
+    if (call->deferred != NULL) {
+        event_free(call->deferred);
+    }
+    call->deferred = evtimer_new(call->client->base, callback, call);
+    evtimer_add(call->deferred, &now);
+}
+
 /* ---- callbacks of evhttp ---- */
 
 /* Runs before on_response() if a request fails after connecting. */
@@ -274,6 +296,30 @@
     call->on_chunk(call->context, (struct sl_str){bytes, len});
 }
 
+static struct evbuffer *
+input_of(struct evhttp_connection *connection)
+{
+    return bufferevent_get_input(
+        evhttp_connection_get_bufferevent(connection));
+}
+
+static void on_deferred_too_large(evutil_socket_t fd, short what,
+                                  void *context);
+
+/* Bytes were added to the connection's input, or evhttp has taken some. */
+static void
+on_input(struct evbuffer *input, const struct evbuffer_cb_info *info,
+         void *context)
+{
+    struct sl_evhttp_call *call = context;
+    (void)info;
+    if (evbuffer_get_length(input) > Sl_MAX_UNPARSED_BYTES &&
+        !call->cancelled && call->err.code == Sl_OK) {
+        set_error(call, Sl_ERR_TOO_LARGE, "response has an endless line");
+        defer(call, on_deferred_too_large);
+    }
+}
+
 /* Reports whether another request may use the connection: the peer keeps it
  * open, and its response was no refusal. A faulty peer may send a refusal once
  * more, which a later call for the same request would take for its own. */
@@ -294,6 +340,7 @@
     struct sl_evhttp_call *call = context;
     struct sl_evhttp_client *client = call->client;
     struct evhttp_connection *connection = call->connection;
+    evbuffer_remove_cb(input_of(connection), on_input, call);
     if (call->cancelled) {
         call->connection = NULL;
         free_connection_later(connection);
@@ -333,6 +380,16 @@
     finish_call(call, NULL);
 }
 
+static void
+on_deferred_too_large(evutil_socket_t fd, short what, void *context)
+{
+    struct sl_evhttp_call *call = context;
+    (void)fd;
+    (void)what;
+    evhttp_connection_free(call->connection);
+    finish_call(call, NULL);
+}
+
 static void
 on_deferred_cancel(evutil_socket_t fd, short what, void *context)
 {
@@ -398,19 +455,6 @@
     return call;
 }
 
-/* Runs `callback` from the event loop, instead of one that was deferred
- * before. */
-static void
-defer(struct sl_evhttp_call *call, event_callback_fn callback)
-{
-    const struct timeval now = {0, 0};
-    if (call->deferred != NULL) {
-        event_free(call->deferred);
-    }
-    call->deferred = evtimer_new(call->client->base, callback, call);
-    evtimer_add(call->deferred, &now);
-}
-
 /* Fails a call that was not sent, once SlEvhttpClient_Send() has returned. */
 static void
 fail_later(struct sl_evhttp_call *call)
@@ -477,7 +521,9 @@
         free_connection_later(call->connection);
         call->connection = NULL;
         fail_later(call);
+        return handle;
     }
+    evbuffer_add_cb(input_of(call->connection), on_input, call);
     return handle;
 }
 
