router: a begun stream went on with a success that was no stream of events

Reported by other operators: a stream broke off, the next runner answered with an error, and clients found its text in their stream, or the stream ended as complete (ORDER, MIXED).

Cause: status and stamp alone decided whether a response goes into a stream.

Change: a stream that began as text/event-stream goes on only with that type; another response counts as a failure of the upstream.

--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -41,6 +41,17 @@
     return head->status >= 200 && head->status < 300 && !head->is_stamped;
 }
 
+/* Returns true if the response of the request's call is a success that may go
+ * to the client: a stream that has begun goes on with events only. */
+static bool
+is_usable_success(const struct sl_routed_request *request)
+{
+    const struct sl_response_head *head = &request->upstream_call.head;
+    return is_success(head) &&
+           (request->state != Sl_ROUTED_REQUEST_RESPONDING ||
+            !request->began_with_events || head->is_events);
+}
+
 /* Records that bytes of the response have arrived. */
 static void
 note_bytes(struct sl_router *router, struct sl_upstream_call *call)
@@ -289,6 +300,7 @@
         request->forwarded_us = router->now_us;
         if (request->state != Sl_ROUTED_REQUEST_RESPONDING) {
             request->state = Sl_ROUTED_REQUEST_RESPONDING;
+            request->began_with_events = call->head.is_events;
             struct sl_router_effect *begin =
                 SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_REPLY_BEGIN);
             begin->u.reply.conn = request->conn;
@@ -372,7 +384,7 @@
     }
     struct sl_upstream_call *call = &request->upstream_call;
     note_bytes(router, call);
-    bool is_forwarded = is_stream(request) && is_success(&call->head);
+    bool is_forwarded = is_stream(request) && is_usable_success(request);
     if (is_forwarded) {
         /* Effects of earlier events that point to these bytes are done. */
         SlEventSplitter_Consume(&call->events, call->processed_bytes);
@@ -497,7 +509,7 @@
 ends_inside_event(const struct sl_routed_request *request)
 {
     const struct sl_upstream_call *call = &request->upstream_call;
-    if (!is_stream(request) || !is_success(&call->head)) {
+    if (!is_stream(request) || !is_usable_success(request)) {
         return false;
     }
     const struct sl_buf *pending = &call->events.pending;
@@ -535,7 +547,7 @@
     }
     request->is_suspect =
         false; /* the engine has answered, if with an error */
-    if (is_success(head) ||
+    if (is_usable_success(request) ||
         (!is_unstamped_success(head) && head->status < 500 &&
          request->state != Sl_ROUTED_REQUEST_RESPONDING)) {
         SlUpstreams_OnSuccess(router, request->upstream_call.upstream,
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -409,6 +409,8 @@
     bool is_retryable;        /* it may run more than once */
     /* Id of the newest event that the client has; empty: none. */
     struct sl_buf last_event;
+    bool began_with_events; /* the response that has begun is of the type
+                               text/event-stream */
     bool repeat_logged;   /* an event that the upstream repeated was logged */
     int64_t forwarded_us; /* when an event was last forwarded */
     size_t tried_count;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -671,6 +671,7 @@
         std::vector<std::string> load = split(args.str("load"));
         head.status = std::stoi(args.words.at(2));
         head.is_stamped = args.has_word("stamp");
+        head.is_events = args.has_word("events");
         head.not_executed = args.has_word("not-run");
         head.wrong_instance = args.has_word("wrong-instance");
         head.confidence = (int)args.number("confidence", -1);
