routing: a request without a key ended the router

Cause: an absent header was an empty view with a NULL pointer; g_strndup(NULL) is NULL, and g_str_hash() reads it.

Change: absent fields and empty buffers are empty views that are never NULL, and the table of keys compares counted bytes, so that a key with a NUL byte is not equal to a shorter one, either.

--- a/lib/common/sl_common.h
+++ b/lib/common/sl_common.h
@@ -62,6 +62,10 @@
 struct sl_str SlStr_FromC(const char *text);
 bool SlStr_Equal(struct sl_str a, struct sl_str b);
 bool SlStr_StartsWith(struct sl_str text, struct sl_str prefix);
+/* Hash and equality functions for a GHashTable with keys of type
+ * `struct sl_str *`, which may hold any bytes. */
+guint SlStr_TableHash(gconstpointer text);
+gboolean SlStr_TableEqual(gconstpointer a, gconstpointer b);
 /* Returns true if `text` has a byte that no header or log line may hold as it
  * is: one below 0x20, or 0x7f. */
 bool SlStr_HasControlBytes(struct sl_str text);
@@ -99,7 +103,7 @@
 /* Empties the buffer but keeps its memory for reuse. */
 void SlBuf_Clear(struct sl_buf *buf);
 void SlBuf_Free(struct sl_buf *buf);
-/* View of the bytes; valid until the buffer changes. */
+/* View of the bytes, never NULL; valid until the buffer changes. */
 struct sl_str SlBuf_Str(const struct sl_buf *buf);
 /* Appends `text` as a quoted JSON string. Each invalid UTF-8 byte is replaced
  * by U+FFFD, so that the result is always valid JSON. */
--- a/lib/common/sl_str.c
+++ b/lib/common/sl_str.c
@@ -62,6 +62,18 @@
            SlStr_Equal((struct sl_str){text.ptr, prefix.len}, prefix);
 }
 
+guint
+SlStr_TableHash(gconstpointer text)
+{
+    return (guint)SlHash_Bytes(0, *(const struct sl_str *)text);
+}
+
+gboolean
+SlStr_TableEqual(gconstpointer a, gconstpointer b)
+{
+    return SlStr_Equal(*(const struct sl_str *)a, *(const struct sl_str *)b);
+}
+
 bool
 SlStr_HasControlBytes(struct sl_str text)
 {
@@ -186,7 +198,7 @@
 struct sl_str
 SlBuf_Str(const struct sl_buf *buf)
 {
-    return (struct sl_str){buf->ptr, buf->len};
+    return (struct sl_str){buf->ptr != NULL ? buf->ptr : "", buf->len};
 }
 
 void
--- a/lib/routing/sl_routing.c
+++ b/lib/routing/sl_routing.c
@@ -93,7 +93,7 @@
     routing->by_prefix = g_hash_table_new(hash_prefix, equal_prefix);
     routing->prefix_lens = g_array_new(FALSE, FALSE, sizeof(size_t));
     routing->by_key =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(SlStr_TableHash, SlStr_TableEqual, g_free, NULL);
     return routing;
 }
 
@@ -224,12 +224,14 @@
 {
     struct sl_team *key_team = find_team(routing, team);
     assert(key_team != NULL);
-    char *text = g_strndup(key.ptr, key.len);
-    if (g_hash_table_contains(routing->by_key, text)) {
-        g_free(text);
+    if (g_hash_table_contains(routing->by_key, &key)) {
         return report_duplicate(err, "a key of team", team->text);
     }
-    g_hash_table_insert(routing->by_key, text, key_team);
+    /* The key's bytes are behind the view of them. */
+    struct sl_str *copy = g_malloc(sizeof(*copy) + key.len);
+    *copy = (struct sl_str){(char *)(copy + 1), key.len};
+    memcpy(copy + 1, key.ptr, key.len);
+    g_hash_table_insert(routing->by_key, copy, key_team);
     return Sl_OK;
 }
 
@@ -282,10 +284,7 @@
 const struct sl_team *
 SlRouting_TeamOfKey(const struct sl_routing *routing, struct sl_str key)
 {
-    char *text = g_strndup(key.ptr, key.len);
-    const struct sl_team *team = g_hash_table_lookup(routing->by_key, text);
-    g_free(text);
-    return team;
+    return g_hash_table_lookup(routing->by_key, &key);
 }
 
 bool
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -151,6 +151,24 @@
               "X-Other: 2\r\n");
 }
 
+// Guards against requests that end the router because they lack a header: what
+// is absent is an empty view, never a NULL pointer.
+TEST_F(PlatformHeaders, AbsentFieldsAreNotNull)
+{
+    struct sl_incoming_request request;
+    SlPlatform_DecodeRequest(&head, Sl_STR(""), &forwarded, &request);
+    const struct sl_str views[] = {
+        request.id,      request.host,       request.api_key, request.model,
+        request.session, request.last_event, request.headers};
+    for (const struct sl_str &view : views) {
+        EXPECT_NE(view.ptr, nullptr);
+        EXPECT_EQ(view.len, 0u);
+    }
+    struct sl_response_head response;
+    SlPlatform_DecodeResponse(&head, &forwarded, &response);
+    EXPECT_NE(response.headers.ptr, nullptr);
+}
+
 TEST_F(PlatformHeaders, InvalidValuesCountAsAbsent)
 {
     struct sl_incoming_request request;
--- a/tests/unit/routing_test.cc
+++ b/tests/unit/routing_test.cc
@@ -113,6 +113,22 @@
     EXPECT_EQ(match("a.example", std::string(5, '/')), "top");
 }
 
+// Guards against a request without a key that ends the router, and against
+// keys that are equal because one goes on after a NUL byte.
+TEST_F(Routing, KeysAreComparedAsBytes)
+{
+    struct sl_team team = {};
+    team.name = SlName_Of("t");
+    ASSERT_EQ(SlRouting_AddTeam(routing, &team, &err), Sl_OK);
+    ASSERT_EQ(SlRouting_AddKey(routing, Sl_STR("k"), &team.name, &err), Sl_OK);
+    EXPECT_EQ(SlRouting_AddKey(routing, Sl_STR("k\0x"), &team.name, &err),
+              Sl_OK);
+    EXPECT_EQ(SlRouting_TeamOfKey(routing, {nullptr, 0}), nullptr);
+    EXPECT_EQ(SlRouting_TeamOfKey(routing, Sl_STR("")), nullptr);
+    EXPECT_EQ(SlRouting_TeamOfKey(routing, Sl_STR("k\0y")), nullptr);
+    EXPECT_NE(SlRouting_TeamOfKey(routing, Sl_STR("k\0x")), nullptr);
+}
+
 TEST_F(Routing, SplitsByWeightDeterministically)
 {
     struct sl_route route = {};
