record cache: records were equal whose keys go on after a NUL byte

Keys of the store are bytes; the cache of records and the reads of the store compared them as strings. A record of another writer under "i-1\0x" replaced that of "i-1", so that a router which pulled from this one lacked the upstream.

Change: keys are compared as counted bytes.

--- a/lib/router/sl_record_cache.c
+++ b/lib/router/sl_record_cache.c
@@ -15,7 +15,7 @@
 free_cached(gpointer data)
 {
     struct sl_cached_record *cached = data;
-    g_free(cached->key);
+    g_free((char *)cached->key.ptr);
     g_free(cached->value);
     g_free(cached);
 }
@@ -23,24 +23,42 @@
 GHashTable *
 SlRecordCache_New(void)
 {
-    return g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_cached);
+    return g_hash_table_new_full(SlStr_TableHash, SlStr_TableEqual, NULL,
+                                 free_cached);
 }
 
-/* Returns a record that drops what `record` has set. Its key and offset are
- * not set; SlRecordCache_FindDropped() fills them in. */
-static struct sl_record
-make_drop(const struct sl_record *record)
+/* Returns the name of what the record is about; empty if dropping its key has
+ * no effect. */
+static struct sl_name
+dropped_name(const struct sl_record *record)
 {
-    struct sl_record drop = {.type = record->type, .dropped = true};
     switch (record->type) {
     case Sl_RECORD_ROLLOUT:
-        drop.u.rollout.service = record->u.rollout.service;
+        return record->u.rollout.service;
+    case Sl_RECORD_EVACUATION:
+        return record->u.evacuated;
+    case Sl_RECORD_UPSTREAM:
+        return record->u.upstream.id;
+    default:
+        return SlName_Of("");
+    }
+}
+
+/* Returns a record that drops the cached one's key. Its offset is not set. */
+static struct sl_record
+make_drop(const struct sl_cached_record *cached)
+{
+    struct sl_record drop = {
+        .type = cached->type, .key = cached->key, .dropped = true};
+    switch (cached->type) {
+    case Sl_RECORD_ROLLOUT:
+        drop.u.rollout.service = cached->name;
         break;
     case Sl_RECORD_EVACUATION:
-        drop.u.evacuated = record->u.evacuated;
+        drop.u.evacuated = cached->name;
         break;
     case Sl_RECORD_UPSTREAM:
-        drop.u.upstream.id = record->u.upstream.id;
+        drop.u.upstream.id = cached->name;
         break;
     default:
         break;
@@ -53,21 +71,22 @@
                   const struct sl_record *record)
 {
     struct sl_feed_state *state = &router->feeds[feed];
-    char *key = g_strndup(record->key.ptr, record->key.len);
-    struct sl_cached_record *cached = g_hash_table_lookup(state->cache, key);
+    struct sl_cached_record *cached =
+        g_hash_table_lookup(state->cache, &record->key);
     if (cached != NULL && cached->offset >= record->offset) {
-        g_free(key);
         return false;
     }
     cached = g_new0(struct sl_cached_record, 1);
     cached->offset = record->offset;
-    cached->key = key;
+    cached->key = (struct sl_str){g_memdup2(record->key.ptr, record->key.len),
+                                  record->key.len};
     cached->value_len = record->dropped ? 0 : record->value.len;
     cached->value = record->dropped
                         ? NULL
                         : g_memdup2(record->value.ptr, record->value.len);
-    cached->drop_template = make_drop(record);
-    g_hash_table_replace(state->cache, cached->key, cached);
+    cached->type = record->type;
+    cached->name = dropped_name(record);
+    g_hash_table_replace(state->cache, &cached->key, cached);
     return true;
 }
 
@@ -79,22 +98,19 @@
 {
     const struct sl_feed_state *state = &router->feeds[event->u.feed.feed];
     GArray *missing = g_array_new(FALSE, FALSE, sizeof(struct sl_record));
-    GHashTable *present =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTable *present = g_hash_table_new(SlStr_TableHash, SlStr_TableEqual);
     GHashTableIter iter;
     gpointer value;
     for (size_t i = 0; i < event->u.feed.count; i++) {
-        struct sl_str key = event->u.feed.records[i].key;
-        g_hash_table_add(present, g_strndup(key.ptr, key.len));
+        g_hash_table_add(present, (gpointer)&event->u.feed.records[i].key);
     }
     g_hash_table_iter_init(&iter, state->cache);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_cached_record *cached = value;
         if (cached->value != NULL &&
             cached->offset < event->u.feed.next_offset &&
-            !g_hash_table_contains(present, cached->key)) {
-            struct sl_record record = cached->drop_template;
-            record.key = SlStr_FromC(cached->key);
+            !g_hash_table_contains(present, &cached->key)) {
+            struct sl_record record = make_drop(cached);
             /* The offset of the drop itself is not known. It lies between the
              * key's last record and the snapshot's end; the latest possible
              * offset is used. */
@@ -124,7 +140,7 @@
         if (is_snapshot || cached->offset >= from_offset) {
             struct sl_page_record record = {
                 .offset = cached->offset,
-                .key = SlStr_FromC(cached->key),
+                .key = cached->key,
                 .value = {cached->value, cached->value_len},
             };
             g_array_append_val(records, record);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -436,11 +436,11 @@
 /* The newest record of a key, as stored; served to peers. */
 struct sl_cached_record {
     uint64_t offset;
-    char *key;
-    char *value; /* NULL: the key was dropped */
+    struct sl_str key; /* owned */
+    char *value;       /* NULL: the key was dropped */
     size_t value_len;
-    /* Record that would drop the key; its key and offset are not set. */
-    struct sl_record drop_template;
+    enum sl_record_type type;
+    struct sl_name name; /* of what it is about, if a drop has an effect */
 };
 
 /* How far this router follows a feed, a topic of the store. It gets records
