upstreams: one was taken for another whose id has the same hash

Digests name an upstream by 32 bits of a hash. Of two with the same bits, a router knew one: a fault or load of either counted for the one that registered last, and after one had left, for none. At 7,900 upstreams, one pair in 140 fleets.

Change: both are known.

--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -424,9 +424,10 @@
         int64_t age_us = router->now_us - peer->newest_digest_sent_us;
         for (size_t i = 0; i < peer->digest.load_count; i++) {
             const struct sl_gossip_load *load = &peer->digest.loads[i];
-            struct sl_router_upstream *upstream = g_hash_table_lookup(
-                router->upstreams_by_key, GUINT_TO_POINTER(load->upstream));
-            if (upstream != NULL) {
+            /* A load that may be of several upstreams counts for each. */
+            for (struct sl_router_upstream *upstream =
+                     SlUpstreams_FirstWithKey(router, load->upstream);
+                 upstream != NULL; upstream = upstream->next_with_key) {
                 int64_t prefill_backlog_us =
                     load->backlog_ms * Sl_US_PER_MS - age_us;
                 upstream->peers_in_flight += load->in_flight;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -67,8 +67,9 @@
 /* An upstream, as this router knows it. */
 struct sl_router_upstream {
     struct sl_registration registration; /* the newest */
-    uint32_t key;                 /* hash of its id, for digests of peers */
-    uint64_t offset;              /* of its newest registration */
+    uint32_t key; /* hash of its id, for digests of peers */
+    struct sl_router_upstream *next_with_key; /* another with the same key */
+    uint64_t offset;                          /* of its newest registration */
     int64_t registration_read_us; /* when that registration was read */
     /* The store has the upstream's entry. If not, the upstream is kept only
      * until this router's calls to it have ended. */
@@ -781,6 +782,10 @@
  * unless it registers again. */
 void SlUpstreams_OnReplaced(struct sl_router *router,
                             struct sl_router_upstream *upstream);
+/* Returns an upstream with this key in digests, or NULL; others follow as
+ * `next_with_key`. */
+struct sl_router_upstream *
+SlUpstreams_FirstWithKey(const struct sl_router *router, uint32_t key);
 /* Handles a peer's report of a faulty upstream: ejects one that fails or was
  * replaced, unless it has just sent bytes to this router. */
 void SlUpstreams_OnReportedFault(struct sl_router *router,
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -56,6 +56,48 @@
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
+/* ---- keys in digests ---- */
+
+/* Digests name an upstream by a hash of its id. Upstreams with the same key
+ * form a list, linked by `next_with_key`. */
+
+static void
+link_key(struct sl_router *router, struct sl_router_upstream *upstream)
+{
+    gpointer key = GUINT_TO_POINTER(upstream->key);
+    upstream->next_with_key =
+        g_hash_table_lookup(router->upstreams_by_key, key);
+    g_hash_table_insert(router->upstreams_by_key, key, upstream);
+}
+
+static void
+unlink_key(struct sl_router *router, const struct sl_router_upstream *upstream)
+{
+    gpointer key = GUINT_TO_POINTER(upstream->key);
+    struct sl_router_upstream *at =
+        g_hash_table_lookup(router->upstreams_by_key, key);
+    if (at == upstream && upstream->next_with_key == NULL) {
+        g_hash_table_remove(router->upstreams_by_key, key);
+    }
+    else if (at == upstream) {
+        g_hash_table_insert(router->upstreams_by_key, key,
+                            upstream->next_with_key);
+    }
+    else {
+        while (at->next_with_key != upstream) {
+            at = at->next_with_key;
+        }
+        at->next_with_key = upstream->next_with_key;
+    }
+}
+
+struct sl_router_upstream *
+SlUpstreams_FirstWithKey(const struct sl_router *router, uint32_t key)
+{
+    return g_hash_table_lookup(router->upstreams_by_key,
+                               GUINT_TO_POINTER(key));
+}
+
 static struct sl_router_upstream *
 add_upstream(struct sl_router *router, const struct sl_registration *reg)
 {
@@ -66,8 +108,7 @@
     upstream->key = (uint32_t)SlHash_Bytes(0, SlName_Str(&reg->id));
     g_hash_table_insert(router->upstreams, &upstream->registration.id,
                         upstream);
-    g_hash_table_insert(router->upstreams_by_key,
-                        GUINT_TO_POINTER(upstream->key), upstream);
+    link_key(router, upstream);
     /* The peers may have reported a load of the new upstream already. */
     router->peers_changed = true;
     SlUpstreamNotices_OnUpstreamStart(router, upstream);
@@ -158,8 +199,7 @@
 static void
 free_upstream(struct sl_router *router, struct sl_router_upstream *upstream)
 {
-    g_hash_table_remove(router->upstreams_by_key,
-                        GUINT_TO_POINTER(upstream->key));
+    unlink_key(router, upstream);
     g_hash_table_remove(router->upstreams, &upstream->registration.id);
 }
 
@@ -525,8 +565,11 @@
                             const struct sl_name *reporter,
                             const struct sl_gossip_fault *fault)
 {
-    struct sl_router_upstream *upstream = g_hash_table_lookup(
-        router->upstreams_by_key, GUINT_TO_POINTER(fault->upstream));
+    struct sl_router_upstream *upstream =
+        SlUpstreams_FirstWithKey(router, fault->upstream);
+    if (upstream != NULL && upstream->next_with_key != NULL) {
+        return; /* it is not known which of them has the fault */
+    }
     if (upstream != NULL && fault->kind == Sl_FAULT_LEAVING) {
         SlUpstreamNotices_OnReportedLeaving(router, reporter, upstream,
                                             fault->age_ms * Sl_US_PER_MS);
