config: an upstream of the configuration takes the memory of its versions

With names of 255 bytes, a label of an upstream would take 8 KB for 32 versions that it does not have.

--- a/lib/config/sl_config.h
+++ b/lib/config/sl_config.h
@@ -85,10 +85,11 @@
     int64_t limit;        /* on concurrent requests, when warm */
     int64_t cold_limit;   /* on concurrent requests, when cold after a start */
     bool fencing;         /* refuses orders with an old fencing number */
-    size_t version_count; /* 0: may run all versions of the service */
-    struct sl_name versions[Sl_MAX_UPSTREAM_VERSIONS];
     /* By the mark of the upstream; that of its failure domain is separate. */
     bool out_of_service;
+    size_t version_count; /* 0: may run all versions of the service */
+    /* In a configuration, memory is allocated for `version_count` only. */
+    struct sl_name versions[Sl_MAX_UPSTREAM_VERSIONS];
 };
 
 /* The least urgent priority; the most urgent one is 0. */
--- a/lib/config/sl_config_value.c
+++ b/lib/config/sl_config_value.c
@@ -423,16 +423,17 @@
 /* Returns the size in bytes of a value of this type: only as much of the union
  * as the type needs, since most types are far smaller than the largest. */
 static size_t
-value_size(enum sl_config_value_type type)
+value_size(const struct sl_config_value *value)
 {
-    switch (type) {
+    switch (value->type) {
     case Sl_VALUE_SERVICE:
         return offsetof(struct sl_config_value, u) + sizeof(struct sl_service);
     case Sl_VALUE_VERSION:
         return offsetof(struct sl_config_value, u) + sizeof(struct sl_version);
     case Sl_VALUE_UPSTREAM:
         return offsetof(struct sl_config_value, u) +
-               sizeof(struct sl_upstream);
+               offsetof(struct sl_upstream, versions) +
+               value->u.upstream.version_count * sizeof(struct sl_name);
     case Sl_VALUE_SELECTOR:
         return offsetof(struct sl_config_value, u) +
                sizeof(struct sl_selector);
@@ -491,7 +492,7 @@
                            "selector, mark, home",
                            key);
     }
-    *out = g_memdup2(&parsed, value_size(parsed.type));
+    *out = g_memdup2(&parsed, value_size(&parsed));
     return Sl_OK;
 }
 
--- a/tests/unit/config_apply.cc
+++ b/tests/unit/config_apply.cc
@@ -85,7 +85,7 @@
 TEST(ConfigApply, RejectsMalformedRecords)
 {
     ConfigReplica replica;
-    const std::string long_id(64, 'i');
+    const std::string long_id(256, 'i');
     const std::string records[] = {
         "null",
         "[]",
