--- a/lib/config/sl_config.h
+++ b/lib/config/sl_config.h
@@ -82,9 +82,9 @@
     struct sl_name name;
     struct sl_name service;
     struct sl_name domain;
-    int64_t limit;        /* on concurrent requests, when warm */
-    int64_t cold_limit;   /* on concurrent requests, when cold after a start */
-    bool fencing;         /* refuses orders with an old fencing number */
+    int64_t limit;      /* on concurrent requests, when warm */
+    int64_t cold_limit; /* on concurrent requests, when cold after a start */
+    bool fencing;       /* refuses orders with an old fencing number */
     /* By the mark of the upstream; that of its failure domain is separate. */
     bool out_of_service;
     size_t version_count; /* 0: may run all versions of the service */
