--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -186,6 +186,24 @@
     return x->arrival_number < y->arrival_number ? -1 : 1;
 }
 
+/* Fails a request that has not ended. The response has status `run_status` if
+ * the request may have run. */
+static void
+fail_unfinished(struct sl_router *router, struct sl_routed_request *request,
+                int run_status, const char *step, const char *reason)
+{
+    bool may_have_run =
+        request->possible_runs > 0 || request->upstream_call.token != 0;
+    const struct sl_router_refusal refusal = {
+        .status = may_have_run ? run_status : 503,
+        .step = step,
+        .reason = reason,
+        .may_have_run = may_have_run,
+        .retry_after_us = may_have_run ? 0 : Sl_RETRY_AFTER_US,
+    };
+    SlRoutedRequest_Fail(router, request, &refusal);
+}
+
 void
 SlRoutedRequest_FailAll(struct sl_router *router)
 {
@@ -198,17 +216,8 @@
     }
     g_ptr_array_sort(requests, compare_arrival);
     for (guint i = 0; i < requests->len; i++) {
-        struct sl_routed_request *request = requests->pdata[i];
-        bool may_have_run =
-            request->possible_runs > 0 || request->upstream_call.token != 0;
-        const struct sl_router_refusal refusal = {
-            .status = may_have_run ? 502 : 503,
-            .step = "drain",
-            .reason = "the router was stopped",
-            .may_have_run = may_have_run,
-            .retry_after_us = may_have_run ? 0 : Sl_RETRY_AFTER_US,
-        };
-        SlRoutedRequest_Fail(router, request, &refusal);
+        fail_unfinished(router, requests->pdata[i], 502, "drain",
+                        "the router was stopped");
     }
     g_ptr_array_free(requests, TRUE);
 }
@@ -224,16 +233,8 @@
         return;
     }
     request->deadline_timer = 0;
-    bool may_have_run =
-        request->possible_runs > 0 || request->upstream_call.token != 0;
-    const struct sl_router_refusal refusal = {
-        .status = may_have_run ? 504 : 503,
-        .step = "deadline",
-        .reason = "the deadline of the request or of its route has passed",
-        .may_have_run = may_have_run,
-        .retry_after_us = may_have_run ? 0 : Sl_RETRY_AFTER_US,
-    };
-    SlRoutedRequest_Fail(router, request, &refusal);
+    fail_unfinished(router, request, 504, "deadline",
+                    "the deadline of the request or of its route has passed");
 }
 
 void
--- a/tests/unit/flood.h
+++ b/tests/unit/flood.h
@@ -173,4 +173,36 @@
     EXPECT_TRUE(sender.closed);
 }
 
+// What a sender writes: `first` once, then `repeated` without end.
+struct Flood {
+    const char *name; // of the test case
+    std::string first;
+    std::string repeated;
+};
+
+inline std::ostream &
+operator<<(std::ostream &out, const Flood &flood)
+{
+    return out << flood.name;
+}
+
+inline std::string
+test_name(const testing::TestParamInfo<Flood> &info)
+{
+    return info.param.name;
+}
+
+class FloodTest : public testing::TestWithParam<Flood> {
+  protected:
+    struct event_base *base = event_base_new();
+    size_t resident_before = resident_bytes();
+
+    ~FloodTest() override
+    {
+        // Connections with unsent bytes are freed from the event loop.
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        event_base_free(base);
+    }
+};
+
 #endif
