feeds: the answer that wakes a router was taken for one of the new read

Cause: the pause check runs before the event and sends the reads of two feeds again. If the event is the answer of such a read, it planned the next read beside the one just sent; the stray read met the right one at a later pause.

Change: an answer that comes in the event in which its feed is read again is that of the read before, and is left alone.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -107,6 +107,7 @@
     state->is_reading = true;
     state->is_followed = true;
     state->read_sent_us = router->now_us;
+    state->read_sent_event = router->event_number;
     effect->u.read.feed = feed;
     effect->u.read.from = state->next_offset;
     effect->u.read.wait_us = wait_us;
@@ -663,6 +664,11 @@
 {
     enum sl_feed feed = event->u.feed.feed;
     struct sl_feed_state *state = &router->feeds[feed];
+    if (state->is_reading && state->read_sent_event == router->event_number) {
+        /* This event has ended a pause of the process, after which the feed is
+         * read again: the answer is that of the read before. */
+        return;
+    }
     state->is_reading = false;
     if (event->err != NULL) {
         on_read_failed(router, feed, event->err);
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -291,6 +291,7 @@
 {
     g_ptr_array_set_size(router->deferred_frees, 0);
     router->effects = effects;
+    router->event_number++;
     SlProcessPause_Check(router, event->now_us);
     router->wall_ms = event->wall_ms;
     if (!router->started) {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -447,11 +447,12 @@
 /* How far this router follows a feed, a topic of the store. It gets records
  * by reading them from the store, or by pulling them from a peer. */
 struct sl_feed_state {
-    GHashTable *cache;    /* key -> struct sl_cached_record, owned */
-    bool is_reading;      /* a read of the store is under way */
-    int64_t read_sent_us; /* when the newest read was sent */
-    bool is_followed;     /* a read is under way, or planned after one that was
-                             answered */
+    GHashTable *cache;        /* key -> struct sl_cached_record, owned */
+    bool is_reading;          /* a read of the store is under way */
+    int64_t read_sent_us;     /* when the newest read was sent */
+    uint64_t read_sent_event; /* number of the event in which it was sent */
+    bool is_followed; /* a read is under way, or planned after one that was
+                         answered */
     /* When the records here were current, according to the store; 0: not
      * known. */
     int64_t current_per_store_us;
@@ -481,6 +482,7 @@
 /* ---- the router ---- */
 
 struct sl_router {
+    uint64_t event_number; /* of the current event, from 1 on */
     struct sl_router_options options;
     int64_t started_us;
     int64_t seeds_until_us;   /* end of the wait for an answer of the seeds,
