gossip: digests with long names exceeded a datagram

Since names have up to 255 bytes, a digest of a router with long names could exceed the 1,400 bytes that receivers read: they would log digest_unreadable and take the router for dead. The room for loads and sessions was counted with names of 63 bytes; it is counted with their length now.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -8,8 +8,10 @@
 static const char step[] = "gossip.decode";
 
 /* Upper bounds of encoded sizes. Sl_FIXED_BYTES is that of a digest without
- * its loads, faults, tallies, sessions, and the items of its quarantine. */
-#define Sl_FIXED_BYTES 364
+ * its names, loads, faults, tallies, sessions, and the items of its
+ * quarantine. */
+#define Sl_FIXED_BYTES 169
+#define Sl_NAME_HEAD_BYTES 2 /* of a name without its text */
 #define Sl_FAULT_BYTES 9
 #define Sl_TALLY_BYTES 48
 #define Sl_LOAD_BYTES 16
@@ -217,7 +219,9 @@
 static size_t
 bytes_for_variable_items(const struct sl_gossip_digest *digest)
 {
-    size_t used = Sl_FIXED_BYTES + digest->fault_count * Sl_FAULT_BYTES;
+    size_t used = Sl_FIXED_BYTES + 3 * Sl_NAME_HEAD_BYTES + digest->vm.len +
+                  digest->domain.len + digest->address.len +
+                  digest->fault_count * Sl_FAULT_BYTES;
     return Sl_GOSSIP_MAX_BYTES - MIN(used, Sl_GOSSIP_MAX_BYTES);
 }
 
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -199,6 +199,20 @@
     }
     fill_quarantine(&digest->quarantine);
     EXPECT_LE(encode(digest.get()).size(), (size_t)Sl_GOSSIP_MAX_BYTES);
+    // Guards against digests that receivers cannot read, as the names of their
+    // senders make them longer than a datagram.
+    std::string longest(Sl_NAME_MAX_BYTES, 'n');
+    digest->vm = SlName_Of(longest.c_str());
+    digest->domain = digest->vm;
+    digest->address = digest->vm;
+    std::string bytes = encode(digest.get());
+    EXPECT_LE(bytes.size(), (size_t)Sl_GOSSIP_MAX_BYTES);
+    auto decoded = std::make_unique<struct sl_gossip_digest>();
+    struct sl_error err;
+    EXPECT_EQ(
+        SlGossip_Decode({bytes.data(), bytes.size()}, decoded.get(), &err),
+        Sl_OK);
+    EXPECT_TRUE(SlName_Equal(&decoded->vm, &digest->vm));
 }
 
 TEST(Gossip, RejectsTruncatedAndCorruptedBytes)
