records: numbers beyond 64 bits fell back to defaults, odd keys were dropped

A manifest with a number beyond 64 bits in a field that is known was read since, with the field's default: a MaxAttempts of 10^26 counted as 1, a limit on bodies as 4 MB.

RoutingWithLargeNumbersIsRead checks known fields, too; it and KeysThatAreNoTextsAreRefused fail on.

--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -491,11 +491,16 @@
 TEST_F(PlatformRecords, RoutingWithLargeNumbersIsRead)
 {
     std::string big = "99999999999999999999999999";
-    decode(Sl_FEED_OPERATORS, "config",
-           replace_once(
-               replace_once(replace_once(kRoutingJson, "20000", "1e300"),
-                            "\"ColdStartS\":3.0", "\"ColdStartS\":1e308"),
-               "\"Version\":7", "\"Version\":7,\"New\":" + big));
+    decode(
+        Sl_FEED_OPERATORS, "config",
+        replace_once(
+            replace_once(
+                replace_once(
+                    replace_once(replace_once(kRoutingJson, "20000", "1e300"),
+                                 "\"ColdStartS\":3.0", "\"ColdStartS\":1e308"),
+                    "\"MaxAttempts\":3", "\"MaxAttempts\":" + big),
+                "8192", big),
+            "\"Version\":7", "\"Version\":7,\"New\":" + big));
     ASSERT_EQ(record.type, Sl_RECORD_ROUTING)
         << (record.type == Sl_RECORD_UNREADABLE ? record.u.err.text : "");
     EXPECT_EQ(SlRouting_Version(record.u.routing), 7);
@@ -507,11 +512,22 @@
     EXPECT_GE(SlRouting_FindService(record.u.routing, &llm)->cold_start_us,
               3 * Sl_US_PER_S);
 }
+    // Of known fields, too, which must not fall back to their defaults.
+    EXPECT_GT(route->max_attempts, 1000000);
+    EXPECT_GT(SlRouting_Limits(record.u.routing)->max_header_bytes, 1000000);
 
 // A name that is too long is refused with a reason, and never cut.
 TEST_F(PlatformRecords, NamesBeyondTheLimitAreRefused)
 {
     std::string name(Sl_NAME_MAX_BYTES + 1, 'n');
+// Guards against keys that are dropped without a word.
+TEST_F(PlatformRecords, KeysThatAreNoTextsAreRefused)
+{
+    EXPECT_EQ(decode_error(Sl_FEED_OPERATORS, "config",
+                           replace_once(kRoutingJson, "\"k2\"", "2")),
+              "\"ApiKeys\" has an item that is not a text");
+}
+
     EXPECT_EQ(
         decode_error(Sl_FEED_OPERATORS, "config",
                      replace_once(kRoutingJson, "\"r1\"", "\"" + name + "\"")),
