vm list: an address that is none ended the process

The address of a VM in the platform's list was not checked: one without a colon ended the process that connects to it with an assertion in SlRuntime_SplitAddress(), another that is no IPv4 address was cut and used as 0.0.0.0. A list with such an address is refused now, and the one before stays.

--- a/lib/adapters/sl_vm_list.c
+++ b/lib/adapters/sl_vm_list.c
@@ -1,6 +1,9 @@
 /* Adapter to the platform's list of VMs. */
 #include "sl_adapters_internal.h"
 
+#include <event2/util.h>
+#include <netinet/in.h>
+
 /* ---- types ---- */
 
 struct sl_http_vm_list {
@@ -15,6 +18,16 @@
 
 /* ---- helpers ---- */
 
+static bool
+is_address(const struct sl_name *text)
+{
+    struct sockaddr_in address;
+    int len = sizeof(address);
+    return evutil_parse_sockaddr_port(text->text, (struct sockaddr *)&address,
+                                      &len) == 0 &&
+           address.sin_family == AF_INET && address.sin_port != 0;
+}
+
 static enum sl_errno
 parse_vm(const json_t *json, struct sl_vm *vm, struct sl_error *err)
 {
@@ -26,6 +39,11 @@
     Sl_TRY(SlJson_Name(json, "domain", true, vm->name.text, &vm->domain, err));
     Sl_TRY(
         SlJson_Name(json, "address", true, vm->name.text, &vm->address, err));
+    if (!is_address(&vm->address)) {
+        return SlError_Set(err, Sl_ERR_INVALID, "vms.read", "vms",
+                           "VM \"%s\": \"address\" is not of the form IP:PORT",
+                           vm->name.text);
+    }
     Sl_TRY(SlJson_Name(json, "upstream", false, vm->name.text, &vm->upstream,
                        err));
     vm->leaving = SlStr_Equal(SlName_Str(&state), Sl_STR("leaving"));
