router: log lines with ids beyond 64 bits could not be read

A log line held an event's id as a number of any length; with one beyond 64 bits, `sassafrasctl explain` could not parse the line and left it out, the lines of just the requests that are looked for. Numbers of over 18 digits are texts now. Events that are left out because they came twice in a stream that was not resumed are counted (sassafrasledge_events_repeated_total), not only logged.

--- a/lib/router/sl_event_id.c
+++ b/lib/router/sl_event_id.c
@@ -6,6 +6,8 @@
 
 /* Longest id that is sent in a request. */
 #define Sl_MAX_EVENT_ID_BYTES 1024
+/* Longest number that every reader of the log can hold in 64 bits. */
+#define Sl_MAX_LOGGED_DIGITS 18
 
 /* Returns the digits of a decimal number without leading zeros. Returns false
  * if `id` is not a decimal number. */
@@ -57,7 +59,7 @@
     if (id.len == 0) {
         SlLogLine_Int(router, key, -1);
     }
-    else if (get_digits(id, &digits)) {
+    else if (get_digits(id, &digits) && digits.len <= Sl_MAX_LOGGED_DIGITS) {
         SlLogLine_Number(router, key, digits);
     }
     else {
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -235,14 +235,17 @@
     }
 }
 
-/* Logs, once for a request, that its upstream sent an event again that the
- * client has, although the stream was not resumed. */
+/* Counts, and logs once for a request, that its upstream sent an event again
+ * that the client has, although the stream was not resumed. */
 static void
 note_repeat(struct sl_router *router, struct sl_routed_request *request,
             struct sl_str id)
 {
-    if (request->repeat_logged || request->possible_runs > 0 ||
-        request->incoming.last_event.len > 0) {
+    if (request->possible_runs > 0 || request->incoming.last_event.len > 0) {
+        return;
+    }
+    SlRouterMetrics_OnEventRepeated(router, &request->service->name);
+    if (request->repeat_logged) {
         return;
     }
     request->repeat_logged = true;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -613,6 +613,7 @@
     Sl_ROUTER_METRIC_LOAD_REPORTED,
     Sl_ROUTER_METRIC_LOAD_ERROR,
     Sl_ROUTER_METRIC_UNREADABLE_RECORDS,
+    Sl_ROUTER_METRIC_EVENTS_REPEATED,
     Sl_ROUTER_METRIC_IN_FLIGHT,
     Sl_ROUTER_METRIC_WAITING,
     Sl_ROUTER_METRIC_UPSTREAMS,
@@ -677,6 +678,8 @@
                             const struct sl_name *service, int64_t estimated,
                             int64_t reported);
 /* Counts a record of the feed that cannot be decoded. */
+void SlRouterMetrics_OnEventRepeated(struct sl_router *router,
+                                     const struct sl_name *service);
 void SlRouterMetrics_OnUnreadableRecord(struct sl_router *router,
                                         enum sl_feed feed);
 
@@ -705,11 +708,11 @@
                     const struct sl_name *value);
 void SlLogLine_C(struct sl_router *router, const char *key, const char *value);
 void SlLogLine_Int(struct sl_router *router, const char *key, int64_t value);
-/* Adds a number of any length, given as decimal digits without leading zeros.
- */
+/* Adds a number, given as decimal digits without leading zeros. */
 void SlLogLine_Number(struct sl_router *router, const char *key,
                       struct sl_str digits);
-/* Adds an event's id: a number if it is one, -1 if it is empty, else text. */
+/* Adds an event's id: a number if it is one of at most 64 bits, -1 if it is
+ * empty, else text. */
 void SlLogLine_EventId(struct sl_router *router, const char *key,
                        struct sl_str id);
 /* Adds the members that describe the error. */
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -142,6 +142,13 @@
                                      "believed and the load that was told.",
                                      {"service"},
                                      request_bounds},
+    [Sl_ROUTER_METRIC_EVENTS_REPEATED] =
+        {"sassafrasledge_events_repeated_total",
+         Sl_METRIC_COUNTER,
+         "Events that an upstream sent again in a stream that was not "
+         "resumed, and that were left out.",
+         {"service"},
+         NULL},
     [Sl_ROUTER_METRIC_UNREADABLE_RECORDS] =
         {"sassafrasledge_records_unreadable_total",
          Sl_METRIC_COUNTER,
@@ -367,6 +374,14 @@
                       NULL, error);
 }
 
+void
+SlRouterMetrics_OnEventRepeated(struct sl_router *router,
+                                const struct sl_name *service)
+{
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_EVENTS_REPEATED, service,
+                  NULL, 1);
+}
+
 void
 SlRouterMetrics_OnUnreadableRecord(struct sl_router *router, enum sl_feed feed)
 {
