router: effects point to names instead of holding them

With names of 255 bytes an effect had 1,424 bytes (480 before), as one of a write holds a whole record, and the list of a burst has thousands. Effects point to copies that live as long as the list: 184 bytes.

No check changes; the tests read the names through the pointers.

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -333,7 +333,8 @@
     if (members->len > 0) {
         struct sl_router_effect *effect =
             SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_SEND_PEER_LIST);
-        effect->u.peer_list.address = digest->address;
+        effect->u.peer_list.address =
+            SlRouter_CopyName(router, &digest->address);
         effect->u.peer_list.count = members->len;
         effect->u.peer_list.members = (const struct sl_member *)members->data;
     }
@@ -510,7 +511,9 @@
 {
     struct sl_router_effect *effect =
         SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_APPEND);
-    struct sl_record *record = &effect->u.append.record;
+    struct sl_record *record = g_new0(struct sl_record, 1);
+    SlRouter_FreeWithEffects(router, record);
+    effect->u.append.record = record;
     effect->u.append.feed = Sl_FEED_MEMBERS;
     effect->u.append.token = router->member_token = ++router->last_token;
     effect->u.append.conditional = false;
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -738,7 +738,7 @@
     }
     struct sl_router_effect *effect =
         SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_PULL);
-    effect->u.pull.address = digest->address;
+    effect->u.pull.address = SlRouter_CopyName(router, &digest->address);
     effect->u.pull.feed = feed;
     effect->u.pull.from = state->has_snapshot ? state->next_offset : 0;
     state->is_pulling = true;
--- a/lib/router/sl_rollout_status.c
+++ b/lib/router/sl_rollout_status.c
@@ -45,14 +45,17 @@
 {
     struct sl_router_effect *effect =
         SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_APPEND);
+    struct sl_record *record = g_new0(struct sl_record, 1);
+    SlRouter_FreeWithEffects(router, record);
     rollout->append_token = ++router->last_token;
     effect->u.append.feed = Sl_FEED_STATUS;
     effect->u.append.token = rollout->append_token;
     effect->u.append.conditional = true;
     effect->u.append.expected_next_offset =
         router->feeds[Sl_FEED_STATUS].next_offset;
-    effect->u.append.record.type = Sl_RECORD_STATUS;
-    effect->u.append.record.u.status = *status;
+    effect->u.append.record = record;
+    record->type = Sl_RECORD_STATUS;
+    record->u.status = *status;
     SlRollouts_BeginLog(router, rollout, "rollout_write");
     SlLogLine_C(router, "state", SlRollouts_StateName(status->state));
     SlLogLine_Int(router, "at",
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -365,17 +365,18 @@
 };
 
 struct sl_router_effect_call {
-    uint64_t token;          /* identifies the call in later events */
-    struct sl_name upstream; /* the only instance that may run the request */
-    struct sl_name address;
+    uint64_t token; /* identifies the call in later events */
+    const struct sl_name
+        *upstream; /* the only instance that may run the request */
+    const struct sl_name *address;
     struct sl_str request_id;
     struct sl_str method;
     struct sl_str target;
     struct sl_str headers; /* of the client's request */
     struct sl_str body;
-    struct sl_str model; /* empty: none */
-    struct sl_name team; /* empty: none */
-    int64_t deadline_us; /* from now */
+    struct sl_str model;        /* empty: none */
+    const struct sl_name *team; /* NULL: none */
+    int64_t deadline_us;        /* from now */
     struct sl_str
         last_event;        /* resume after this event; empty: from the start */
     int64_t priority;      /* for engines; 0 is the most urgent, -1: none */
@@ -397,6 +398,7 @@
     int64_t retry_after_us; /* 0: no Retry-After */
 };
 
+/* Pointers are valid until the list of effects changes. */
 struct sl_router_effect {
     enum sl_router_effect_type type;
     union {
@@ -404,8 +406,8 @@
         uint64_t token;
         struct {
             uint64_t token;
-            struct sl_name upstream;
-            struct sl_name address;
+            const struct sl_name *upstream;
+            const struct sl_name *address;
             int64_t timeout_us;
         } health_check;
         struct sl_router_effect_reply reply;
@@ -427,7 +429,7 @@
             bool conditional; /* append only if the topic ends at
                                  `expected_next_offset` */
             uint64_t expected_next_offset;
-            struct sl_record record; /* STATUS or MEMBER; key not set */
+            const struct sl_record *record; /* STATUS or MEMBER; no key */
         } append;
         struct {
             const struct sl_gossip_digest *digest;
@@ -435,12 +437,12 @@
             const struct sl_name *const *addresses;
         } send_digest;
         struct {
-            struct sl_name address;
+            const struct sl_name *address;
             size_t count;
             const struct sl_member *members; /* most important first */
         } peer_list;
         struct {
-            struct sl_name address;
+            const struct sl_name *address;
             enum sl_feed feed;
             uint64_t from;
         } pull;
--- a/lib/router/sl_router_effects.c
+++ b/lib/router/sl_router_effects.c
@@ -57,6 +57,14 @@
     return effect;
 }
 
+const struct sl_name *
+SlRouter_CopyName(struct sl_router *router, const struct sl_name *name)
+{
+    struct sl_name *copy = g_memdup2(name, sizeof(*name));
+    SlRouter_FreeWithEffects(router, copy);
+    return copy;
+}
+
 void
 SlRouter_FreeWithEffects(struct sl_router *router, gpointer memory)
 {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -689,6 +689,9 @@
  * type zero. The pointer is valid until the next effect is added. */
 struct sl_router_effect *SlRouter_AddEffect(struct sl_router *router,
                                             enum sl_router_effect_type type);
+/* Returns a copy of a name for an effect to point to. */
+const struct sl_name *SlRouter_CopyName(struct sl_router *router,
+                                        const struct sl_name *name);
 /* Takes ownership of memory that an effect points to: it is freed, by
  * g_free(), when the effects are cleared. */
 void SlRouter_FreeWithEffects(struct sl_router *router, gpointer memory);
--- a/lib/router/sl_stall_monitor.c
+++ b/lib/router/sl_stall_monitor.c
@@ -36,8 +36,10 @@
     struct sl_router_effect *effect =
         SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_HEALTH_CHECK);
     effect->u.health_check.token = *token;
-    effect->u.health_check.upstream = upstream->registration.id;
-    effect->u.health_check.address = upstream->registration.address;
+    effect->u.health_check.upstream =
+        SlRouter_CopyName(router, &upstream->registration.id);
+    effect->u.health_check.address =
+        SlRouter_CopyName(router, &upstream->registration.address);
     effect->u.health_check.timeout_us = Sl_CHECK_TIMEOUT_US;
 }
 
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -87,16 +87,17 @@
         SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_CALL);
     struct sl_router_effect_call *effect_call = &effect->u.call;
     effect_call->token = call->token;
-    effect_call->upstream = upstream->registration.id;
-    effect_call->address = upstream->registration.address;
+    effect_call->upstream =
+        SlRouter_CopyName(router, &upstream->registration.id);
+    effect_call->address =
+        SlRouter_CopyName(router, &upstream->registration.address);
     effect_call->request_id = request->incoming.id;
     effect_call->method = request->incoming.method;
     effect_call->target = request->incoming.target;
     effect_call->headers = request->incoming.headers;
     effect_call->body = request->incoming.body;
     effect_call->model = SlRoutedRequest_Model(request);
-    effect_call->team =
-        request->team != NULL ? request->team->name : SlName_Of("");
+    effect_call->team = request->team != NULL ? &request->team->name : NULL;
     effect_call->deadline_us = request->deadline_us - router->now_us;
     effect_call->last_event = SlBuf_Str(&request->last_event);
     effect_call->priority =
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -382,8 +382,8 @@
     struct sl_buf head = {0};
     SlPlatform_EncodeUpstreamRequest(request, &head);
     struct sl_http_client_call_options options = {
-        .address = SlName_Str(&request->address),
-        .peer = request->upstream.text,
+        .address = SlName_Str(request->address),
+        .peer = request->upstream->text,
         .step = "upstream.call",
         .head = SlBuf_Str(&head),
         .body = request->body,
@@ -451,8 +451,8 @@
 {
     struct sl_router_call *call = g_new0(struct sl_router_call, 1);
     struct sl_http_client_call_options options = {
-        .address = SlName_Str(&effect->u.health_check.address),
-        .peer = effect->u.health_check.upstream.text,
+        .address = SlName_Str(effect->u.health_check.address),
+        .peer = effect->u.health_check.upstream->text,
         .step = "upstream.check",
         .connect_only = true,
         .connect_timeout_us = effect->u.health_check.timeout_us,
@@ -577,7 +577,7 @@
         break;
     case Sl_ROUTER_EFFECT_APPEND:
         SlStore_Append(runtime->store, effect->u.append.feed,
-                       effect->u.append.token, &effect->u.append.record,
+                       effect->u.append.token, effect->u.append.record,
                        effect->u.append.conditional
                            ? &effect->u.append.expected_next_offset
                            : NULL);
--- a/programs/sassafrasd_router_peers.c
+++ b/programs/sassafrasd_router_peers.c
@@ -124,7 +124,7 @@
     struct sl_buf bytes = {0};
     while (remaining > 0) {
         size_t encoded = SlPeerList_Encode(members, remaining, &bytes);
-        send_datagram(peers, &effect->u.peer_list.address, SlBuf_Str(&bytes));
+        send_datagram(peers, effect->u.peer_list.address, SlBuf_Str(&bytes));
         SlBuf_Clear(&bytes);
         members += encoded;
         remaining -= encoded;
@@ -240,10 +240,10 @@
     SlBuf_Printf(&head,
                  "GET %s%s/%" G_GUINT64_FORMAT " HTTP/1.1\r\nHost: %s\r\n",
                  records_path, SlFeed_Name(pull->feed),
-                 (guint64)effect->u.pull.from, effect->u.pull.address.text);
+                 (guint64)effect->u.pull.from, effect->u.pull.address->text);
     struct sl_http_client_call_options options = {
-        .address = SlName_Str(&effect->u.pull.address),
-        .peer = effect->u.pull.address.text,
+        .address = SlName_Str(effect->u.pull.address),
+        .peer = effect->u.pull.address->text,
         .step = "peer.pull",
         .head = SlBuf_Str(&head),
         .connect_timeout_us = Sl_PULL_CONNECT_TIMEOUT_US,
--- a/tests/props/router_requests.cc
+++ b/tests/props/router_requests.cc
@@ -513,7 +513,7 @@
     {
         Call call;
         call.request = text(effect.request_id);
-        call.upstream = effect.upstream.text;
+        call.upstream = effect.upstream->text;
         // Some upstreams cannot resume and start from the first event.
         int64_t last_event = effect.last_event.len > 0
                                  ? std::stoll(text(effect.last_event))
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -191,8 +191,10 @@
           "100000000000000000000000000000000000000000000000000000000001"}) {
         struct sl_incoming_request request;
         struct sl_router_effect_call call = {};
+        struct sl_name upstream = SlName_Of("i-1");
         struct sl_buf out = {};
         head = {};
+        call.upstream = &upstream;
         add_header(&head, "Last-Event-Id", id.c_str());
         SlPlatform_DecodeRequest(&head, Sl_STR(""), &forwarded, &request);
         EXPECT_EQ(text(request.last_event), id);
@@ -249,8 +251,10 @@
 {
     struct sl_router_effect_call call = {};
     struct sl_buf out = {};
-    call.upstream = SlName_Of("i-1");
-    call.team = SlName_Of("t");
+    struct sl_name upstream = SlName_Of("i-1");
+    struct sl_name team = SlName_Of("t");
+    call.upstream = &upstream;
+    call.team = &team;
     call.method = Sl_STR("POST");
     call.target = Sl_STR("/x?q");
     call.headers = Sl_STR("Host: h\r\n");
@@ -508,18 +512,14 @@
         SlRouting_Match(record.u.routing, Sl_STR("h"), Sl_STR("/a/x"));
     ASSERT_NE(route, nullptr);
     EXPECT_GE(route->timeout_us, 20 * Sl_US_PER_S);
+    // Of known fields, too, which must not fall back to their defaults.
+    EXPECT_GT(route->max_attempts, 1000000);
+    EXPECT_GT(SlRouting_Limits(record.u.routing)->max_header_bytes, 1000000);
     struct sl_name llm = SlName_Of("llm");
     EXPECT_GE(SlRouting_FindService(record.u.routing, &llm)->cold_start_us,
               3 * Sl_US_PER_S);
 }
-    // Of known fields, too, which must not fall back to their defaults.
-    EXPECT_GT(route->max_attempts, 1000000);
-    EXPECT_GT(SlRouting_Limits(record.u.routing)->max_header_bytes, 1000000);
 
-// A name that is too long is refused with a reason, and never cut.
-TEST_F(PlatformRecords, NamesBeyondTheLimitAreRefused)
-{
-    std::string name(Sl_NAME_MAX_BYTES + 1, 'n');
 // Guards against keys that are dropped without a word.
 TEST_F(PlatformRecords, KeysThatAreNoTextsAreRefused)
 {
@@ -528,6 +528,10 @@
               "\"ApiKeys\" has an item that is not a text");
 }
 
+// A name that is too long is refused with a reason, and never cut.
+TEST_F(PlatformRecords, NamesBeyondTheLimitAreRefused)
+{
+    std::string name(Sl_NAME_MAX_BYTES + 1, 'n');
     EXPECT_EQ(
         decode_error(Sl_FEED_OPERATORS, "config",
                      replace_once(kRoutingJson, "\"r1\"", "\"" + name + "\"")),
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -312,7 +312,7 @@
             FleetCall made = {router,
                               call.token,
                               text(call.request_id),
-                              text(SlName_Str(&call.upstream)),
+                              text(SlName_Str(call.upstream)),
                               text(call.model),
                               now_us,
                               prompts[text(call.request_id)]};
@@ -348,7 +348,7 @@
                                effect.u.append.token,
                                effect.u.append.conditional,
                                effect.u.append.expected_next_offset,
-                               effect.u.append.record});
+                               *effect.u.append.record});
             break;
         case Sl_ROUTER_EFFECT_SEND_DIGEST:
             for (size_t i = 0; i < effect.u.send_digest.count; i++) {
@@ -361,7 +361,7 @@
             }
             break;
         case Sl_ROUTER_EFFECT_PULL:
-            pull(router, text(SlName_Str(&effect.u.pull.address)),
+            pull(router, text(SlName_Str(effect.u.pull.address)),
                  effect.u.pull.feed, effect.u.pull.from);
             break;
         case Sl_ROUTER_EFFECT_SEND_PAGE:
@@ -377,7 +377,7 @@
         case Sl_ROUTER_EFFECT_SEND_PEER_LIST:
             peer_lists.push_back(
                 {router,
-                 text(SlName_Str(&effect.u.peer_list.address)),
+                 text(SlName_Str(effect.u.peer_list.address)),
                  {effect.u.peer_list.members,
                   effect.u.peer_list.members + effect.u.peer_list.count}});
             break;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -918,12 +918,12 @@
         std::string id = text(call.request_id);
         newest_calls[id] = call.token;
         request_ids[call.token] = id;
-        begin_output() << "call " << id << " " << call.upstream.text;
+        begin_output() << "call " << id << " " << call.upstream->text;
         if (call.model.len > 0) {
             out << " model=" << text(call.model);
         }
-        if (!SlName_IsEmpty(&call.team)) {
-            out << " team=" << call.team.text;
+        if (call.team != nullptr) {
+            out << " team=" << call.team->text;
         }
         if (call.last_event.len > 0) {
             out << " last=" << text(call.last_event);
@@ -936,7 +936,7 @@
     {
         static const char *const states[] = {"running", "completed",
                                              "rolled_back"};
-        const struct sl_record &record = effect.u.append.record;
+        const struct sl_record &record = *effect.u.append.record;
         append_token = effect.u.append.token;
         if (record.type == Sl_RECORD_STATUS) {
             begin_output() << "append " << record.u.status.service.text << " "
@@ -973,7 +973,7 @@
         for (size_t i = 0; i < effect.u.peer_list.count; i++) {
             names.insert(effect.u.peer_list.members[i].vm.text);
         }
-        begin_output() << "peer-list to " << effect.u.peer_list.address.text
+        begin_output() << "peer-list to " << effect.u.peer_list.address->text
                        << ":";
         for (const std::string &name : names) {
             out << " " << name;
@@ -1048,7 +1048,7 @@
             begin_output() << "cancel " << request_ids[effect.u.token] << "\n";
             break;
         case Sl_ROUTER_EFFECT_HEALTH_CHECK:
-            begin_output() << "check " << effect.u.health_check.upstream.text
+            begin_output() << "check " << effect.u.health_check.upstream->text
                            << "\n";
             break;
         case Sl_ROUTER_EFFECT_REPLY:
@@ -1079,7 +1079,7 @@
         case Sl_ROUTER_EFFECT_PULL:
             begin_output() << "pull " << SlFeed_Name(effect.u.pull.feed)
                            << " from=" << effect.u.pull.from << " "
-                           << effect.u.pull.address.text << "\n";
+                           << effect.u.pull.address->text << "\n";
             break;
         case Sl_ROUTER_EFFECT_SEND_PAGE:
             begin_output() << "page " << effect.u.page.conn
--- a/tests/unit/router_simulation.h
+++ b/tests/unit/router_simulation.h
@@ -296,7 +296,7 @@
     void
     add_check(const struct sl_router_effect &effect)
     {
-        const char *upstream = effect.u.health_check.upstream.text;
+        const char *upstream = effect.u.health_check.upstream->text;
         bool is_silent = unreachable.count(upstream) > 0;
         bool is_reached = !is_silent && refusing.count(upstream) == 0;
         int64_t delay_us =
