--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -367,7 +367,9 @@
             "Last-Event-Id: " + std::to_string(request.last_event) + "\r\n";
     }
     if (!is_state) {
-        head += "Content-Length: 0\r\n";
+        head +=
+            "Content-Length: " + std::to_string(request.unsent_body_bytes) +
+            "\r\n";
     }
     const std::string &address = is_state ? router.metrics : router.frontend;
     struct sl_http_client_call_options call_options = {};
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -25,8 +25,9 @@
     std::string path;
     std::string model; // empty: no model header
     int64_t deadline_ms = 3000;
-    int64_t last_event = -1;   // Last-Event-Id; -1: no such header
-    std::string extra_headers; // lines "Name: value\r\n"
+    int64_t last_event = -1;      // Last-Event-Id; -1: no such header
+    std::string extra_headers;    // lines "Name: value\r\n"
+    size_t unsent_body_bytes = 0; // of a body that is announced, never sent
 };
 
 // What the client received.
--- a/tests/soak/scenarios.cc
+++ b/tests/soak/scenarios.cc
@@ -241,16 +241,34 @@
     request_and_print(deployment, 0, make_request("back", "/c/x"));
 }
 
-// A router drains: it finishes its stream first.
+// Time after SIGTERM at which a router still accepts requests, and the header
+// timeout of which passes after the router's exit.
+static const int64_t late_in_drain_ms = 1500;
+
+// A router drains: it finishes its stream first. Before it exits, it answers
+// the request that its upstream does not, and the one whose body does not
+// come.
 static void
 scenario_drain(Deployment &deployment)
 {
-    PendingRequest pending;
+    PendingRequest leaving, unanswered, unread;
+    set_faults(deployment, plain_slots, RunnerFault::silent);
+    ClientRequest request = make_request("unanswered", "/c/x");
+    request.deadline_ms = 15000;
+    start_request(deployment, 0, request, unanswered);
+    wait_run(deployment, "unanswered");
     start_request(deployment, 0, make_request("leaving", "/v/y", "m1"),
-                  pending);
+                  leaving);
     wait_run(deployment, "leaving");
     deployment.signal_router(0, SIGTERM);
-    print_response(deployment, wait_response(deployment, pending));
+    deployment.run_for(late_in_drain_ms);
+    request = make_request("unread", "/c/y");
+    request.unsent_body_bytes = 10;
+    start_request(deployment, 0, request, unread);
+    print_response(deployment, wait_response(deployment, leaving));
+    print_response(deployment, wait_response(deployment, unanswered));
+    print_response(deployment, wait_response(deployment, unread));
+    set_faults(deployment, plain_slots, RunnerFault::none);
     deployment.run_until(step_timeout_ms, [&deployment] {
         return deployment.routers[0].pid == 0;
     });
