--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -207,7 +207,7 @@
     SlTimers_Add(router->timers, router->now_us + Sl_DRAIN_ACCEPT_US,
                  on_stop_accepting, router, 0);
     set_exit_timer(router);
-    router->capacity_changed = true; /* some may wait too long for the drain */
+    router->capacity_changed = true; /* queued ones may outlast the drain */
 }
 
 /* ---- events ---- */
--- a/tests/soak/scenarios.cc
+++ b/tests/soak/scenarios.cc
@@ -241,8 +241,8 @@
     request_and_print(deployment, 0, make_request("back", "/c/x"));
 }
 
-// Time after SIGTERM at which a router still accepts requests, and the header
-// timeout of which passes after the router's exit.
+// When a request is sent after SIGTERM whose body does not come: the router
+// still accepts it, and exits before its header timeout.
 static const int64_t late_in_drain_ms = 1500;
 
 // A router drains: it finishes its stream first. Before it exits, it answers
