gossip: shares of teams, paces, memory held and kept parts in digests

Cause: a router hears of its peers' calls only as numbers by upstream. Room that teams compete for, the memory of engines, their pace and the prompts that they keep can't be decided about over the fleet.

Change: four lists or fields in digests, version 8, left out of a datagram that is full after shares and loads; all empty until the parts that fill them are in.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -8,13 +8,15 @@
 static const char step[] = "gossip.decode";
 
 /* Upper bounds of encoded sizes. Sl_FIXED_BYTES is that of a digest without
- * its names, loads, faults, tallies, sessions, and the items of its
- * quarantine. */
-#define Sl_FIXED_BYTES 169
+ * its names, and the items of its arrays and of its quarantine. */
+#define Sl_FIXED_BYTES 174
 #define Sl_NAME_HEAD_BYTES 2 /* of a name without its text */
 #define Sl_FAULT_BYTES 9
 #define Sl_TALLY_BYTES 48
-#define Sl_LOAD_BYTES 16
+#define Sl_LOAD_BYTES 21
+#define Sl_SHARE_BYTES 17
+#define Sl_PACE_BYTES 14
+#define Sl_KEPT_PART_BYTES 16
 #define Sl_SESSION_BYTES 5
 #define Sl_END_BYTES 19
 #define Sl_SUSPECT_BYTES 6
@@ -32,8 +34,11 @@
 #define Sl_AGE_STEP_MS 10
 
 /* Numbers of items in the encoded arrays. */
-#define Sl_DIGEST_FIELDS 15
-#define Sl_LOAD_FIELDS 3
+#define Sl_DIGEST_FIELDS 18
+#define Sl_LOAD_FIELDS 4
+#define Sl_SHARE_FIELDS 4
+#define Sl_PACE_FIELDS 3
+#define Sl_KEPT_PART_FIELDS 3
 #define Sl_ROLLOUT_FIELDS 9
 #define Sl_TALLY_FIELDS 15
 #define Sl_QUARANTINE_FIELDS 3
@@ -214,8 +219,58 @@
                bytes / digest->rollout_count / Sl_TALLY_BYTES);
 }
 
-/* Returns how many bytes of the datagram remain for tallies, the quarantine,
- * loads and sessions. */
+static void
+pack_shares(msgpack_packer *packer, const struct sl_gossip_share *shares,
+            size_t count)
+{
+    msgpack_pack_array(packer, count);
+    for (size_t i = 0; i < count; i++) {
+        msgpack_pack_array(packer, Sl_SHARE_FIELDS);
+        msgpack_pack_uint32(packer, shares[i].service);
+        msgpack_pack_uint32(packer, shares[i].team);
+        msgpack_pack_uint16(packer, shares[i].held);
+        msgpack_pack_uint16(packer, shares[i].waiting);
+    }
+}
+
+static void
+pack_paces(msgpack_packer *packer, const struct sl_gossip_pace *paces,
+           size_t count)
+{
+    msgpack_pack_array(packer, count);
+    for (size_t i = 0; i < count; i++) {
+        msgpack_pack_array(packer, Sl_PACE_FIELDS);
+        msgpack_pack_uint32(packer, paces[i].upstream);
+        msgpack_pack_uint16(packer, paces[i].percent);
+        msgpack_pack_uint32(packer, paces[i].age_ms);
+    }
+}
+
+static void
+pack_kept_parts(msgpack_packer *packer,
+                const struct sl_gossip_kept_part *parts, size_t count)
+{
+    msgpack_pack_array(packer, count);
+    for (size_t i = 0; i < count; i++) {
+        msgpack_pack_array(packer, Sl_KEPT_PART_FIELDS);
+        msgpack_pack_uint32(packer, parts[i].upstream);
+        msgpack_pack_uint32(packer, parts[i].part);
+        msgpack_pack_uint32(packer, parts[i].age_ms);
+    }
+}
+
+/* Returns how many items of `item_bytes` fit into the bytes that remain, and
+ * takes these. */
+static size_t
+fit_items(size_t count, size_t item_bytes, size_t *remaining)
+{
+    size_t fitting = MIN(count, *remaining / item_bytes);
+    *remaining -= fitting * item_bytes;
+    return fitting;
+}
+
+/* Returns how many bytes of the datagram remain for all but names, faults and
+ * what each digest has. */
 static size_t
 bytes_for_variable_items(const struct sl_gossip_digest *digest)
 {
@@ -238,8 +293,14 @@
     free_bytes -= tally_bytes;
     struct sl_gossip_quarantine quarantine = digest->quarantine;
     fit_quarantine(&quarantine, &free_bytes);
-    size_t load_count = MIN(digest->load_count, free_bytes / Sl_LOAD_BYTES);
-    free_bytes -= load_count * Sl_LOAD_BYTES;
+    size_t share_count =
+        fit_items(digest->share_count, Sl_SHARE_BYTES, &free_bytes);
+    size_t load_count =
+        fit_items(digest->load_count, Sl_LOAD_BYTES, &free_bytes);
+    size_t pace_count =
+        fit_items(digest->pace_count, Sl_PACE_BYTES, &free_bytes);
+    size_t kept_part_count =
+        fit_items(digest->kept_part_count, Sl_KEPT_PART_BYTES, &free_bytes);
     msgpack_pack_array(packer, Sl_DIGEST_FIELDS);
     msgpack_pack_int(packer, Sl_GOSSIP_VERSION);
     pack_name(packer, &digest->vm);
@@ -263,6 +324,7 @@
         msgpack_pack_uint32(packer, digest->loads[i].upstream);
         msgpack_pack_uint32(packer, digest->loads[i].in_flight);
         msgpack_pack_uint32(packer, digest->loads[i].backlog_ms);
+        msgpack_pack_uint32(packer, digest->loads[i].held_tokens);
     }
     msgpack_pack_array(packer, digest->fault_count);
     for (size_t i = 0; i < digest->fault_count; i++) {
@@ -277,6 +339,9 @@
                      session_count);
     }
     pack_quarantine(packer, &quarantine);
+    pack_shares(packer, digest->shares, share_count);
+    pack_paces(packer, digest->paces, pace_count);
+    pack_kept_parts(packer, digest->kept_parts, kept_part_count);
 }
 
 static int
@@ -373,6 +438,7 @@
     load->upstream = next_uint32(&fields);
     load->in_flight = next_uint32(&fields);
     load->backlog_ms = next_uint32(&fields);
+    load->held_tokens = next_uint32(&fields);
     return fields.ok;
 }
 
@@ -509,6 +575,52 @@
     return ends.ok && blocks.ok && cleared.ok && fields.ok;
 }
 
+static bool
+decode_shares(struct sl_array_reader items, struct sl_gossip_digest *digest)
+{
+    while (items.ok && items.remaining > 0) {
+        struct sl_array_reader fields = next_array(&items, Sl_SHARE_FIELDS);
+        struct sl_gossip_share *share = &digest->shares[digest->share_count++];
+        share->service = next_uint32(&fields);
+        share->team = next_uint32(&fields);
+        share->held = next_uint16(&fields);
+        share->waiting = next_uint16(&fields);
+        items.ok = items.ok && fields.ok;
+    }
+    return items.ok;
+}
+
+static bool
+decode_paces(struct sl_array_reader items, struct sl_gossip_digest *digest)
+{
+    while (items.ok && items.remaining > 0) {
+        struct sl_array_reader fields = next_array(&items, Sl_PACE_FIELDS);
+        struct sl_gossip_pace *pace = &digest->paces[digest->pace_count++];
+        pace->upstream = next_uint32(&fields);
+        pace->percent = next_uint16(&fields);
+        pace->age_ms = next_uint32(&fields);
+        items.ok = items.ok && fields.ok;
+    }
+    return items.ok;
+}
+
+static bool
+decode_kept_parts(struct sl_array_reader items,
+                  struct sl_gossip_digest *digest)
+{
+    while (items.ok && items.remaining > 0) {
+        struct sl_array_reader fields =
+            next_array(&items, Sl_KEPT_PART_FIELDS);
+        struct sl_gossip_kept_part *part =
+            &digest->kept_parts[digest->kept_part_count++];
+        part->upstream = next_uint32(&fields);
+        part->part = next_uint32(&fields);
+        part->age_ms = next_uint32(&fields);
+        items.ok = items.ok && fields.ok;
+    }
+    return items.ok;
+}
+
 static bool
 decode_digest(struct sl_array_reader fields, struct sl_gossip_digest *digest)
 {
@@ -556,9 +668,14 @@
     }
     bool is_quarantine_ok = decode_quarantine(
         next_array(&fields, Sl_QUARANTINE_FIELDS), &digest->quarantine);
-    return is_quarantine_ok && fields.ok && offsets.ok && loads.ok &&
-           faults.ok && rollouts.ok && !SlName_IsEmpty(&digest->vm) &&
-           digest->boot != 0;
+    bool are_lists_ok =
+        decode_shares(next_array(&fields, Sl_GOSSIP_MAX_SHARES), digest) &&
+        decode_paces(next_array(&fields, Sl_GOSSIP_MAX_PACES), digest) &&
+        decode_kept_parts(next_array(&fields, Sl_GOSSIP_MAX_KEPT_PARTS),
+                          digest);
+    return is_quarantine_ok && are_lists_ok && fields.ok && offsets.ok &&
+           loads.ok && faults.ok && rollouts.ok &&
+           !SlName_IsEmpty(&digest->vm) && digest->boot != 0;
 }
 
 enum sl_errno
@@ -632,6 +749,13 @@
         rollout->elapsed_ms = add_saturating(rollout->elapsed_ms, ms);
     }
     add_quarantine_age(&digest->quarantine, ms);
+    for (size_t i = 0; i < digest->pace_count; i++) {
+        digest->paces[i].age_ms = add_saturating(digest->paces[i].age_ms, ms);
+    }
+    for (size_t i = 0; i < digest->kept_part_count; i++) {
+        digest->kept_parts[i].age_ms =
+            add_saturating(digest->kept_parts[i].age_ms, ms);
+    }
 }
 
 /* ---- peer lists ---- */
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -21,7 +21,7 @@
 #include "sl_common.h"
 
 /* Datagrams of another version are rejected. */
-#define Sl_GOSSIP_VERSION 7
+#define Sl_GOSSIP_VERSION 8
 /* Largest datagram. It fits into the payload of one Ethernet frame, so that it
  * is not fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
@@ -39,6 +39,9 @@
 #define Sl_GOSSIP_MAX_BLOCKS 4
 #define Sl_GOSSIP_MAX_BLOCK_KEYS 4 /* of each block */
 #define Sl_GOSSIP_MAX_CLEARED 6
+#define Sl_GOSSIP_MAX_SHARES 12
+#define Sl_GOSSIP_MAX_PACES 12
+#define Sl_GOSSIP_MAX_KEPT_PARTS 12
 
 /* Least pace of a response that is reported. */
 #define Sl_GOSSIP_MIN_PACE (-1)
@@ -54,6 +57,33 @@
     uint32_t upstream;   /* hash of its id */
     uint32_t in_flight;  /* the sender's requests there */
     uint32_t backlog_ms; /* time to prefill the sender's waiting prompts */
+    /* Tokens that the sender's requests there may hold in its memory, prompts
+     * and answers together; 0 where memory is not counted. */
+    uint32_t held_tokens;
+};
+
+/* What a team has of a service through the sender. */
+struct sl_gossip_share {
+    uint32_t service; /* hash of its name */
+    uint32_t team;    /* hash of its name; 0: the teams that are not listed,
+                         and requests without a team */
+    uint16_t held;    /* requests at upstreams */
+    uint16_t waiting; /* requests in the sender's queue */
+};
+
+/* How long work takes at an upstream, as the sender has learned. */
+struct sl_gossip_pace {
+    uint32_t upstream; /* hash of its id */
+    uint16_t percent;  /* of the usual time; 100: as usual */
+    uint32_t age_ms;   /* since the sender learned it */
+};
+
+/* A prompt part that an upstream is likely to have in its prefix cache, as a
+ * prompt with it was sent there. */
+struct sl_gossip_kept_part {
+    uint32_t upstream; /* hash of its id */
+    uint32_t part;     /* hash of the part and the model */
+    uint32_t age_ms;   /* since the sender last sent a prompt with it there */
 };
 
 /* What is wrong with an upstream. */
@@ -190,12 +220,19 @@
     size_t rollout_count;
     struct sl_gossip_rollout rollouts[Sl_GOSSIP_MAX_ROLLOUTS];
     struct sl_gossip_quarantine quarantine;
+    size_t share_count;
+    struct sl_gossip_share shares[Sl_GOSSIP_MAX_SHARES];
+    size_t pace_count;
+    struct sl_gossip_pace paces[Sl_GOSSIP_MAX_PACES];
+    size_t kept_part_count;
+    struct sl_gossip_kept_part kept_parts[Sl_GOSSIP_MAX_KEPT_PARTS];
 };
 
 /* ---- 2. Codec --------------------------------------------------------- */
 
-/* Appends the encoded digest to `out`. Tallies, items of the quarantine, loads
- * and then sessions that do not fit into Sl_GOSSIP_MAX_BYTES are left out. */
+/* Appends the encoded digest to `out`. Tallies, items of the quarantine,
+ * shares, loads, paces, kept parts and then sessions that do not fit into
+ * Sl_GOSSIP_MAX_BYTES are left out. */
 void SlGossip_Encode(const struct sl_gossip_digest *digest,
                      struct sl_buf *out);
 /* Decodes one datagram. Returns Sl_OK; or Sl_ERR_INVALID, with the reason in
--- /dev/null
+++ b/lib/sharing/sl_sharing.h
@@ -0,0 +1,142 @@
+/*
+ * sl_sharing: who goes first when a service has too little room, and who is
+ * refused.
+ *
+ * Within a priority, the room of a service is shared between teams, then
+ * between the routes of a team, then between its sessions. Who holds the least
+ * goes first (max-min fairness), so that a team's burst waits behind itself
+ * and not before all others. What a team does not use, others may: its next
+ * request comes first again, as soon as a request of theirs has ended.
+ *
+ * All routers of the fleet share the room. Each reports what its teams hold
+ * and wait for. Reports age: a router that has heard nothing for a while goes
+ * by its own view.
+ *
+ * The wait of a request follows from the requests of the fleet that go before
+ * it, and from the pace at which the service ends requests. One that could not
+ * end in time is refused at once, and told when to come back.
+ *
+ * Nothing here has a clock or a network. Times are in microseconds on the
+ * caller's monotonic clock.
+ *
+ * Sections, from simple to advanced:
+ *   1. Sharing    create, free
+ *   2. Holdings   what teams hold and wait for, here and at the peers
+ *   3. Order      which waiting request goes first
+ *   4. Admission  the wait of a request, and whether it is refused
+ *   5. Reports    exchange with the other routers
+ */
+#ifndef Sl_SHARING_H
+#define Sl_SHARING_H
+
+#include "sl_gossip.h"
+
+/* ---- 1. Sharing ------------------------------------------------------- */
+
+struct sl_sharing;
+
+/* Returns an empty state, which the caller frees. */
+struct sl_sharing *SlSharing_New(void);
+void SlSharing_Free(struct sl_sharing *sharing);
+/* Returns the key of a service, team or route; never 0. */
+uint32_t SlSharing_Key(struct sl_str name);
+
+/* ---- 2. Holdings ------------------------------------------------------ */
+
+/* Whom a request belongs to, by keys. */
+struct sl_sharing_claim {
+    uint32_t service;
+    uint32_t team; /* 0: none */
+    uint32_t route;
+    uint32_t session; /* 0: none */
+};
+
+/* A request begins or ceases to wait in this router's queue. */
+void SlSharing_OnQueued(struct sl_sharing *sharing,
+                        const struct sl_sharing_claim *claim);
+void SlSharing_OnUnqueued(struct sl_sharing *sharing,
+                          const struct sl_sharing_claim *claim);
+/* A call of a request is sent to an upstream, or has ended. */
+void SlSharing_OnSent(struct sl_sharing *sharing,
+                      const struct sl_sharing_claim *claim);
+void SlSharing_OnEnded(struct sl_sharing *sharing,
+                       const struct sl_sharing_claim *claim);
+
+/* What a team holds and waits for. */
+struct sl_sharing_holding {
+    int64_t held;    /* requests at upstreams, of the whole fleet */
+    int64_t waiting; /* requests in queues, of the whole fleet */
+    int64_t age_us;  /* of the oldest report that counts; 0: none does */
+};
+
+struct sl_sharing_holding SlSharing_Team(const struct sl_sharing *sharing,
+                                         int64_t now_us, uint32_t service,
+                                         uint32_t team);
+struct sl_sharing_holding SlSharing_Service(const struct sl_sharing *sharing,
+                                            int64_t now_us, uint32_t service);
+
+/* ---- 3. Order --------------------------------------------------------- */
+
+/* A request that waits. */
+struct sl_sharing_waiter {
+    struct sl_sharing_claim claim;
+    int64_t priority;  /* 0 is the most urgent */
+    uint64_t arrival;  /* grows from one request to the next */
+    int64_t latest_us; /* the request must have begun by then to be in time */
+    bool has_returned; /* its client has used part of its time elsewhere: it
+                          was refused before */
+    size_t index;      /* the caller's */
+};
+
+/* Sorts the waiters: by priority, then the one whose team, route and session
+ * hold the least first, counting those that are sorted before it as held. */
+void SlSharing_Sort(const struct sl_sharing *sharing, int64_t now_us,
+                    struct sl_sharing_waiter *waiters, size_t count);
+
+/* ---- 4. Admission ----------------------------------------------------- */
+
+/* What a request meets at its service. */
+struct sl_admission_state {
+    int64_t usable_slots; /* of all upstreams that may take the request */
+    int64_t run_us;       /* mean run time */
+    int64_t ahead;        /* requests in the fleet's queues that go before */
+    int64_t upstream_wait_us;  /* least wait in an upstream's own queue */
+    int64_t objective_left_us; /* until the response should have begun;
+                                  Sl_NEVER_US: no objective */
+    int64_t time_left_us;      /* until the deadline, or the route's timeout */
+    bool may_run_once;         /* the request must not run more than once */
+    bool has_returned;
+    uint32_t spread; /* hash of the request, which spreads Retry-After */
+};
+
+enum sl_admission_action {
+    Sl_ADMISSION_SEND, /* if an upstream has room, else wait */
+    Sl_ADMISSION_REFUSE,
+};
+
+struct sl_admission {
+    enum sl_admission_action action;
+    const char *reason;     /* REFUSE: a sentence for people, static */
+    int64_t wait_us;        /* expected, here and there */
+    int64_t end_us;         /* expected time from now to the end */
+    int64_t retry_after_us; /* REFUSE */
+};
+
+/* Decides about a request that waits, or is about to be sent. */
+struct sl_admission SlAdmission_Decide(const struct sl_admission_state *state);
+
+/* ---- 5. Reports ------------------------------------------------------- */
+
+/* Fills in what this router's teams hold and wait for: the largest ones, and
+ * the others together. Returns the number of shares. */
+size_t SlSharing_FillReport(const struct sl_sharing *sharing,
+                            struct sl_gossip_share *shares, size_t max);
+/* Replaces the peer's report. `sent_us` is when it was sent. */
+void SlSharing_OnReport(struct sl_sharing *sharing, int64_t sent_us,
+                        const struct sl_name *peer,
+                        const struct sl_gossip_share *shares, size_t count);
+/* Forgets a peer, which has left or is no longer live. */
+void SlSharing_OnPeerGone(struct sl_sharing *sharing,
+                          const struct sl_name *peer);
+
+#endif
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -24,7 +24,7 @@
     digest->age_ms = 70;
     digest->offsets[2] = 9;
     digest->load_count = 1;
-    digest->loads[0] = {0xffffffff, 3, 250};
+    digest->loads[0] = {0xffffffff, 3, 250, 54600};
     digest->rollout_count = 1;
     digest->rollouts[0].order_offset = 12;
     digest->rollouts[0].elapsed_ms = 900;
@@ -41,6 +41,13 @@
     quarantine.blocks[0] = {40, 30000, 2, 2, {6, 8}};
     quarantine.cleared_count = 1;
     quarantine.cleared[0] = {10, 900};
+    digest->share_count = 2;
+    digest->shares[0] = {7, 8, 3, 65535};
+    digest->shares[1] = {7, 0, 1, 0};
+    digest->pace_count = 1;
+    digest->paces[0] = {0xffffffff, 130, 200};
+    digest->kept_part_count = 1;
+    digest->kept_parts[0] = {5, 0xfffffffd, 1200};
     return digest;
 }
 
@@ -75,6 +82,7 @@
     ASSERT_EQ(decoded->load_count, 1u);
     EXPECT_EQ(decoded->loads[0].upstream, 0xffffffffu);
     EXPECT_EQ(decoded->loads[0].backlog_ms, 250u);
+    EXPECT_EQ(decoded->loads[0].held_tokens, 54600u);
     ASSERT_EQ(decoded->rollout_count, 1u);
     const struct sl_gossip_tally &tally = decoded->rollouts[0].tallies[0];
     EXPECT_EQ(tally.target.failed, 10u);
@@ -104,6 +112,20 @@
     ASSERT_EQ(quarantine.cleared_count, 1u);
     EXPECT_EQ(quarantine.cleared[0].key, 10u);
     EXPECT_EQ(quarantine.cleared[0].age_ms, 900u);
+    ASSERT_EQ(decoded->share_count, 2u);
+    EXPECT_EQ(decoded->shares[0].service, 7u);
+    EXPECT_EQ(decoded->shares[0].team, 8u);
+    EXPECT_EQ(decoded->shares[0].held, 3u);
+    EXPECT_EQ(decoded->shares[0].waiting, 65535u);
+    EXPECT_EQ(decoded->shares[1].held, 1u);
+    ASSERT_EQ(decoded->pace_count, 1u);
+    EXPECT_EQ(decoded->paces[0].upstream, 0xffffffffu);
+    EXPECT_EQ(decoded->paces[0].percent, 130u);
+    EXPECT_EQ(decoded->paces[0].age_ms, 200u);
+    ASSERT_EQ(decoded->kept_part_count, 1u);
+    EXPECT_EQ(decoded->kept_parts[0].upstream, 5u);
+    EXPECT_EQ(decoded->kept_parts[0].part, 0xfffffffdu);
+    EXPECT_EQ(decoded->kept_parts[0].age_ms, 1200u);
 }
 
 // All ages and elapsed times grow by the added age. One that would overflow
@@ -123,6 +145,8 @@
     EXPECT_EQ(digest->quarantine.blocks[0].end_age_ms, 80u);
     EXPECT_EQ(digest->quarantine.blocks[0].expires_in_ms, 29960u);
     EXPECT_EQ(digest->quarantine.cleared[0].age_ms, 940u);
+    EXPECT_EQ(digest->paces[0].age_ms, 240u);
+    EXPECT_EQ(digest->kept_parts[0].age_ms, 1240u);
     SlGossip_AddAge(digest.get(), 60 * Sl_US_PER_S);
     EXPECT_EQ(digest->quarantine.blocks[0].expires_in_ms, 0u);
 }
@@ -147,6 +171,42 @@
     memset(quarantine->cleared, 0xff, sizeof(quarantine->cleared));
 }
 
+// Fills the lists of shares, paces and kept parts with items that have the
+// longest encoding.
+static void
+fill_lists(struct sl_gossip_digest *digest)
+{
+    digest->share_count = Sl_GOSSIP_MAX_SHARES;
+    memset(digest->shares, 0xff, sizeof(digest->shares));
+    digest->pace_count = Sl_GOSSIP_MAX_PACES;
+    memset(digest->paces, 0xff, sizeof(digest->paces));
+    digest->kept_part_count = Sl_GOSSIP_MAX_KEPT_PARTS;
+    memset(digest->kept_parts, 0xff, sizeof(digest->kept_parts));
+}
+
+// Without a quarantine, all lists fit beside the loads of 20 upstreams.
+TEST(Gossip, FullListsFitIntoADatagram)
+{
+    auto digest = sample_digest();
+    auto decoded = std::make_unique<struct sl_gossip_digest>();
+    struct sl_error err;
+    digest->load_count = 20;
+    for (auto &load : digest->loads) {
+        load = {0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff};
+    }
+    fill_lists(digest.get());
+    std::string bytes = encode(digest.get());
+    EXPECT_LE(bytes.size(), (size_t)Sl_GOSSIP_MAX_BYTES);
+    ASSERT_EQ(
+        SlGossip_Decode({bytes.data(), bytes.size()}, decoded.get(), &err),
+        Sl_OK)
+        << err.text;
+    EXPECT_EQ(decoded->share_count, (size_t)Sl_GOSSIP_MAX_SHARES);
+    EXPECT_EQ(decoded->load_count, 20u);
+    EXPECT_EQ(decoded->pace_count, (size_t)Sl_GOSSIP_MAX_PACES);
+    EXPECT_EQ(decoded->kept_part_count, (size_t)Sl_GOSSIP_MAX_KEPT_PARTS);
+}
+
 // A full quarantine takes the place of loads.
 TEST(Gossip, FullQuarantineFitsIntoADatagram)
 {
@@ -155,7 +215,7 @@
     struct sl_error err;
     digest->load_count = Sl_GOSSIP_MAX_LOADS;
     for (auto &load : digest->loads) {
-        load = {0xffffffff, 0xffffffff, 0xffffffff};
+        load = {0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff};
     }
     fill_quarantine(&digest->quarantine);
     std::string bytes = encode(digest.get());
@@ -183,7 +243,7 @@
         fault = {0xffffffff, Sl_FAULT_LEAVING, 0xffffffff};
     }
     for (auto &load : digest->loads) {
-        load = {0xffffffff, 0xffffffff, 0xffffffff};
+        load = {0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff};
     }
     for (auto &rollout : digest->rollouts) {
         rollout = digest->rollouts[0];
@@ -198,6 +258,7 @@
         }
     }
     fill_quarantine(&digest->quarantine);
+    fill_lists(digest.get());
     EXPECT_LE(encode(digest.get()).size(), (size_t)Sl_GOSSIP_MAX_BYTES);
     // Guards against digests that receivers cannot read, as the names of their
     // senders make them longer than a datagram.
@@ -239,6 +300,10 @@
                       (size_t)Sl_GOSSIP_MAX_ENDS);
             EXPECT_LE(decoded->quarantine.blocks[0].key_count,
                       (size_t)Sl_GOSSIP_MAX_BLOCK_KEYS);
+            EXPECT_LE(decoded->share_count, (size_t)Sl_GOSSIP_MAX_SHARES);
+            EXPECT_LE(decoded->pace_count, (size_t)Sl_GOSSIP_MAX_PACES);
+            EXPECT_LE(decoded->kept_part_count,
+                      (size_t)Sl_GOSSIP_MAX_KEPT_PARTS);
         }
     }
 }
