startup: clients were told to come back while the store was still silent

Cause: a router without a configuration refused with a Retry-After of 0.5 s, however long the store had been silent.

Change: Retry-After is the time for which the router has had no configuration, 0.5 to 6 s, and up to a quarter more by the hash of the request. SlHash_Fraction() is the one copy of a hash as a fraction.

--- a/lib/common/sl_common.h
+++ b/lib/common/sl_common.h
@@ -168,6 +168,8 @@
 /* Weight of `member` for `key` in rendezvous hashing: the member with the
  * highest weight owns the key. */
 uint64_t SlHash_Rendezvous(struct sl_str key, struct sl_str member);
+/* Returns the hash as a fraction, from 0 to less than 1. */
+double SlHash_Fraction(uint64_t hash);
 
 /* ---- 4. Random -------------------------------------------------------- */
 
--- a/lib/common/sl_hash.c
+++ b/lib/common/sl_hash.c
@@ -36,6 +36,13 @@
     return SlHash_Bytes(SlHash_Bytes(0, key), member);
 }
 
+double
+SlHash_Fraction(uint64_t hash)
+{
+    /* A double has 53 significant bits: the upper 53 of the 64 are used. */
+    return (double)(hash >> 11) * 0x1.0p-53;
+}
+
 uint64_t
 SlRandom_Next(struct sl_random *random)
 {
@@ -46,8 +53,7 @@
 double
 SlRandom_Unit(struct sl_random *random)
 {
-    /* A double has 53 significant bits: the upper 53 of the 64 are used. */
-    return (double)(SlRandom_Next(random) >> 11) * 0x1.0p-53;
+    return SlHash_Fraction(SlRandom_Next(random));
 }
 
 uint32_t
--- a/lib/router/sl_rollout_sessions.c
+++ b/lib/router/sl_rollout_sessions.c
@@ -20,9 +20,7 @@
 double
 SlRolloutSessions_Bucket(const struct sl_rollout *rollout, uint32_t key)
 {
-    uint64_t hash = SlHash_Mix((uint64_t)key << 32 ^ rollout->offset);
-    /* A double holds 53 bits exactly. */
-    return (double)(hash >> 11) * 0x1.0p-53;
+    return SlHash_Fraction(SlHash_Mix((uint64_t)key << 32 ^ rollout->offset));
 }
 
 bool
--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -6,9 +6,6 @@
 
 /* Retry-After of an error response where no better time is known. */
 #define Sl_RETRY_AFTER_US (300 * Sl_US_PER_MS)
-/* Retry-After while no configuration is known: to get one takes a few reads of
- * the store. */
-#define Sl_RETRY_AFTER_START_US (500 * Sl_US_PER_MS)
 /* Deadline of a request if neither it nor its route has one. */
 #define Sl_DEFAULT_DEADLINE_US (30 * Sl_US_PER_S)
 /* Calls of a request at most, including those that did not run at their
@@ -366,7 +363,7 @@
                         SlFeeds_IsConfigurationRefused(router)
                             ? "the configuration cannot be decoded"
                             : "no configuration is known yet",
-                        Sl_RETRY_AFTER_START_US);
+                        SlStartupQueue_RetryAfterUs(router, incoming));
         return NULL;
     }
     const struct sl_route *route =
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1165,6 +1165,11 @@
 void SlStartupQueue_Release(struct sl_router *router);
 /* Refuses all held requests, when the process exits. */
 void SlStartupQueue_RefuseAll(struct sl_router *router);
+/* Returns the Retry-After of a request that is refused because no
+ * configuration is known. */
+int64_t
+SlStartupQueue_RetryAfterUs(const struct sl_router *router,
+                            const struct sl_incoming_request *incoming);
 /* Frees a struct sl_held_request. */
 void SlStartupQueue_FreeEntry(gpointer held);
 
--- a/lib/router/sl_startup_queue.c
+++ b/lib/router/sl_startup_queue.c
@@ -13,6 +13,13 @@
 #define Sl_HOLD_US (1500 * Sl_US_PER_MS)
 /* Requests held at most; further ones are refused at once. */
 #define Sl_MAX_HELD 256
+/* Least and largest Retry-After of requests that are refused because no
+ * configuration is known. */
+#define Sl_MIN_RETRY_AFTER_US (500 * Sl_US_PER_MS)
+#define Sl_MAX_RETRY_AFTER_US (6 * Sl_US_PER_S)
+/* Share of Retry-After that is added at most, so that the clients of all
+ * routers do not return at once. */
+#define Sl_RETRY_SPREAD_SHARE 0.25
 
 struct sl_held_request {
     struct sl_incoming_request incoming;
@@ -96,6 +103,19 @@
     }
 }
 
+/* An outage of the store is expected to last as long as it has lasted so far.
+ * Most clients return once: a shorter time has them refused again. */
+int64_t
+SlStartupQueue_RetryAfterUs(const struct sl_router *router,
+                            const struct sl_incoming_request *incoming)
+{
+    int64_t wait_us = CLAMP(router->now_us - router->started_us,
+                            Sl_MIN_RETRY_AFTER_US, Sl_MAX_RETRY_AFTER_US);
+    double share = SlHash_Fraction(SlHash_Bytes(0, incoming->id));
+    return wait_us +
+           (int64_t)(Sl_RETRY_SPREAD_SHARE * share * (double)wait_us);
+}
+
 void
 SlStartupQueue_RefuseAll(struct sl_router *router)
 {
--- a/lib/routing/sl_routing.c
+++ b/lib/routing/sl_routing.c
@@ -326,10 +326,8 @@
     for (size_t i = 0; i < route->target_count; i++) {
         weight_sum += route->targets[i].weight;
     }
-    /* The hash as a number from 0 to the sum of the weights; 53 is the number
-     * of significant bits of a double. */
-    double position =
-        (double)(SlHash_Mix(hash) >> 11) * 0x1.0p-53 * weight_sum;
+    /* The hash as a number from 0 to the sum of the weights. */
+    double position = SlHash_Fraction(SlHash_Mix(hash)) * weight_sum;
     for (size_t i = 0; i + 1 < route->target_count; i++) {
         position -= route->targets[i].weight;
         if (position < 0) {
