net: the last response of a connection was cut after a second

Cause: close_after_write() starts the 1 s in which a client may close its side when the response is handed over, not when its last byte is written; has_timed_out() then closes the connection with unsent bytes.

Change: the second begins when the last byte is written. Until then the client has the idle timeout, anew with each check at which it has read something; the same holds for a kept connection.

--- a/lib/net/sl_http_server.c
+++ b/lib/net/sl_http_server.c
@@ -45,6 +45,8 @@
     /* When `state` began; if a request is being read, when its first byte was
      * read. Of the monotonic clock. */
     int64_t state_since_us;
+    /* Bytes that were not sent at the last check of timeouts. */
+    size_t unsent_bytes;
 };
 
 struct sl_http_server {
@@ -87,6 +89,12 @@
     conn->state_since_us = now_us();
 }
 
+static size_t
+count_unsent(const struct sl_server_conn *conn)
+{
+    return evbuffer_get_length(bufferevent_get_output(conn->bev));
+}
+
 /* Closes and frees the connection. */
 static void
 close_conn(struct sl_server_conn *conn)
@@ -102,7 +110,7 @@
 close_after_write(struct sl_server_conn *conn)
 {
     set_state(conn, Sl_CONN_CLOSING);
-    if (evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0) {
+    if (count_unsent(conn) == 0) {
         (void)shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
     }
 }
@@ -313,6 +321,7 @@
     struct sl_server_conn *conn = context;
     (void)bev;
     if (conn->state == Sl_CONN_CLOSING) {
+        set_state(conn, Sl_CONN_CLOSING); /* the client gets Sl_LINGER_US */
         (void)shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
     }
 }
@@ -347,7 +356,8 @@
         return age_us > (conn->reader.started ? limits->header_timeout_us
                                               : limits->idle_timeout_us);
     case Sl_CONN_CLOSING:
-        return age_us > Sl_LINGER_US;
+        return age_us > (conn->unsent_bytes > 0 ? limits->idle_timeout_us
+                                                : Sl_LINGER_US);
     case Sl_CONN_RESPONDING:
     default:
         return false; /* the server's user sets a deadline for each request */
@@ -359,7 +369,7 @@
 {
     (void)current_us;
     return conn->state == Sl_CONN_READING && !conn->reader.started &&
-           evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
+           count_unsent(conn) == 0;
 }
 
 /* Returns the connections for which `predicate` is true at the current time;
@@ -382,10 +392,31 @@
     return found;
 }
 
+/* While a client reads a complete response, its connection does not time out.
+ */
+static void
+note_progress(struct sl_http_server *server)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, server->conns);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_server_conn *conn = value;
+        size_t unsent_bytes = count_unsent(conn);
+        bool is_reading =
+            conn->state == Sl_CONN_READING && conn->reader.started;
+        if (unsent_bytes < conn->unsent_bytes && !is_reading) {
+            conn->state_since_us = now_us();
+        }
+        conn->unsent_bytes = unsent_bytes;
+    }
+}
+
 static void
 on_timeout_check(evutil_socket_t fd, short what, void *context)
 {
     struct sl_http_server *server = context;
+    note_progress(server);
     GPtrArray *timed_out = collect_conns(server, has_timed_out);
     (void)fd;
     (void)what;
@@ -631,6 +662,20 @@
     g_ptr_array_free(reading, TRUE);
 }
 
+bool
+SlHttpServer_HasUnsent(const struct sl_http_server *server)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, server->conns);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (count_unsent(value) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 size_t
 SlHttpServer_ConnectionCount(const struct sl_http_server *server)
 {
--- a/lib/net/sl_net.h
+++ b/lib/net/sl_net.h
@@ -84,7 +84,8 @@
     size_t max_body_bytes;
     /* From the first byte of a request to its last, body included. */
     int64_t header_timeout_us;
-    /* Between two requests of a connection, and before the first one. */
+    /* Between two requests of a connection, and before the first one. Also the
+     * longest time for which a client reads nothing of a complete response. */
     int64_t idle_timeout_us;
     /* Further connections are closed as soon as they are accepted. */
     size_t max_connections;
@@ -143,6 +144,8 @@
 /* Closes the connections that have neither an incomplete request, nor a
  * request without a complete response, nor unsent bytes. */
 void SlHttpServer_CloseIdle(struct sl_http_server *server);
+/* Returns true if bytes of responses wait for their clients to read them. */
+bool SlHttpServer_HasUnsent(const struct sl_http_server *server);
 /* Returns the number of open connections. */
 size_t SlHttpServer_ConnectionCount(const struct sl_http_server *server);
 
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -283,6 +283,37 @@
     run_until([&] { return SlHttpServer_ConnectionCount(server) == 0; });
 }
 
+// Guards against cutting the last response of a connection while its client
+// still reads it: the connection was closed 1 s after the end of the response,
+// although most of it was unsent.
+TEST_F(HttpServer, LastResponseWaitsForASlowClient)
+{
+    std::string body(16 << 20, 'x');
+    send_request("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    wait_for_requests(1);
+    SlHttpServer_Reply(server, requests[0].conn, 200, Sl_STR(""),
+                       {body.data(), body.size()});
+    EXPECT_TRUE(SlHttpServer_HasUnsent(server));
+    int64_t began_us = g_get_monotonic_time();
+    run_until(
+        [&] { return g_get_monotonic_time() - began_us > 2 * Sl_US_PER_S; });
+    std::string out = receive_until_closed();
+    size_t head_bytes = out.find("\r\n\r\n") + 4;
+    EXPECT_EQ(out.size(), head_bytes + body.size() + strlen("<closed>"));
+    EXPECT_FALSE(SlHttpServer_HasUnsent(server));
+}
+
+// A client that reads nothing is disconnected after the idle timeout, of 5 s.
+TEST_F(HttpServer, LastResponseDoesNotWaitForASilentClient)
+{
+    std::string body(16 << 20, 'x');
+    send_request("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    wait_for_requests(1);
+    SlHttpServer_Reply(server, requests[0].conn, 200, Sl_STR(""),
+                       {body.data(), body.size()});
+    run_until([&] { return SlHttpServer_ConnectionCount(server) == 0; });
+}
+
 TEST_F(HttpServer, ClosesIdleConnections)
 {
     send_request("GET /a HTTP/1.1\r\n\r\n");
