drain: a stopped router left clients that still read their responses

Cause: a router without work left exits 0.3 s later, whether its clients have received the responses or not.

Evidence: scenario "slow client": "cut" without exit_waits() after the 0.3 s, "whole" with it.

Change: while bytes of responses are unsent, the exit waits until the end of the drain, which EXIT tells the runtime. Clients that only keep their connections open are given 0.3 s, as before.

--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -147,7 +147,8 @@
         SlLogLine_End(router, Sl_LOG_INFO);
         SlStartupQueue_RefuseAll(router);
         SlRoutedRequest_FailAll(router);
-        SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_EXIT);
+        SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_EXIT)->u.drain_end_us =
+            SlRouter_DrainEndUs(router);
     }
 }
 
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -360,7 +360,8 @@
     Sl_ROUTER_EFFECT_CLOSE_CONNS,
     /* accept no more client connections */
     Sl_ROUTER_EFFECT_STOP_ACCEPTING,
-    /* all work is finished: exit the process */
+    /* u.drain_end_us: all work is finished: exit the process. Clients may
+     * receive the last responses until the drain ends. */
     Sl_ROUTER_EFFECT_EXIT,
 };
 
@@ -417,6 +418,7 @@
         } chunk;
         uint64_t conn;
         struct sl_client_limits limits;
+        int64_t drain_end_us; /* monotonic */
         struct {
             enum sl_feed feed;
             uint64_t from;   /* READ_FROM: offset of the first record */
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -26,9 +26,9 @@
  * filled to this share. */
 #define Sl_LOG_FLUSH_US (200 * Sl_US_PER_MS)
 #define Sl_LOG_FLUSH_FILL 0.02
-/* Longest time for clients to receive the last responses before the process
- * exits. The reducer ends its work early enough in the grace time (from
- * SIGTERM to SIGKILL) to allow for it. */
+/* Time for clients to receive the last responses before the process exits.
+ * The reducer ends its work early enough in the grace time (from SIGTERM to
+ * SIGKILL) to allow for it. */
 #define Sl_EXIT_GRACE_US (300 * Sl_US_PER_MS)
 /* Interval of the checks whether clients have received them. */
 #define Sl_EXIT_POLL_US (20 * Sl_US_PER_MS)
@@ -497,8 +497,21 @@
 
 /* ---- exit ---- */
 
-/* Ends the event loop once clients have received the last responses, or at
- * `exit_deadline_us`. Until then it runs again every Sl_EXIT_POLL_US. */
+/* Returns true while the exit waits for clients: Sl_EXIT_GRACE_US for them to
+ * close their connections, and until that time after the end of the drain for
+ * them to receive the last responses. */
+static bool
+exit_waits(const struct sl_router_runtime *runtime)
+{
+    int64_t now_us = monotonic_us();
+    return now_us < runtime->exit_us + Sl_EXIT_GRACE_US
+               ? SlHttpServer_ConnectionCount(runtime->frontend) > 0
+               : now_us < runtime->drain_end_us + Sl_EXIT_GRACE_US &&
+                     SlHttpServer_HasUnsent(runtime->frontend);
+}
+
+/* Ends the event loop once exit_waits() is false. Until then it runs again
+ * every Sl_EXIT_POLL_US. */
 static void
 exit_when_drained(evutil_socket_t fd, short what, void *context)
 {
@@ -508,14 +521,13 @@
     (void)what;
     SlHttpServer_RejectUnread(runtime->frontend);
     SlHttpServer_CloseIdle(runtime->frontend);
-    if (SlHttpServer_ConnectionCount(runtime->frontend) == 0 ||
-        monotonic_us() >= runtime->exit_deadline_us) {
-        event_base_loopexit(runtime->base, NULL);
-    }
-    else {
+    if (exit_waits(runtime)) {
         event_base_once(runtime->base, -1, EV_TIMEOUT, exit_when_drained,
                         runtime, &poll_interval);
     }
+    else {
+        event_base_loopexit(runtime->base, NULL);
+    }
 }
 
 /* ---- effects ---- */
@@ -601,7 +613,8 @@
         SlHttpServer_CloseIdle(runtime->frontend);
         break;
     case Sl_ROUTER_EFFECT_EXIT:
-        runtime->exit_deadline_us = monotonic_us() + Sl_EXIT_GRACE_US;
+        runtime->exit_us = monotonic_us();
+        runtime->drain_end_us = effect->u.drain_end_us;
         SlHttpServer_StopAccepting(runtime->frontend);
         exit_when_drained(-1, 0, runtime);
         break;
--- a/programs/sassafrasd_router_internal.h
+++ b/programs/sassafrasd_router_internal.h
@@ -33,10 +33,11 @@
     /* Calls and health checks of upstreams: token -> struct
      * sl_router_call, owned. */
     GHashTable *calls;
-    struct sl_buf forwarded;  /* headers that are being decoded */
-    struct sl_buf log_line;   /* reused for encoding */
-    bool is_dispatching;      /* an event is being processed */
-    int64_t exit_deadline_us; /* when the process exits at the latest */
+    struct sl_buf forwarded; /* headers that are being decoded */
+    struct sl_buf log_line;  /* reused for encoding */
+    bool is_dispatching;     /* an event is being processed */
+    int64_t exit_us;         /* when the reducer asked for the exit */
+    int64_t drain_end_us;    /* as it told then */
 };
 
 /* Passes one event to the reducer and carries out the effects that it
--- a/tests/soak/scenarios.cc
+++ b/tests/soak/scenarios.cc
@@ -3,6 +3,12 @@
 // logs stay in DIR, where tests/scripts/router.test.sh reads them with
 // `sassafrasctl explain`.
 // usage: scenarios SASSAFRASD DIR
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -289,6 +295,53 @@
     deployment.store->fault = StoreFault::none;
 }
 
+// Time after SIGTERM at which the router exits if it has no work left. Its
+// grace time, of 8 s, is not over then.
+static const int64_t exit_ms = 4500;
+// Until then, the slow client reads once in this time.
+static const int64_t read_interval_ms = 250;
+
+// A client that still reads its response when the router has ended its work:
+// the router waits for it in its grace time.
+static void
+scenario_slow_client(Deployment &deployment)
+{
+    const std::string &address = deployment.routers[1].frontend;
+    const std::string request = "POST /c/x HTTP/1.1\r\nHost: h\r\n"
+                                "Sassafrasledge-Request-Id: large\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    struct sockaddr_in remote;
+    int remote_len = sizeof(remote);
+    int receive_buffer = 4096;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof(receive_buffer));
+    if (evutil_parse_sockaddr_port(address.c_str(), (struct sockaddr *)&remote,
+                                   &remote_len) != 0 ||
+        connect(fd, (struct sockaddr *)&remote, sizeof(remote)) != 0 ||
+        write(fd, request.data(), request.size()) != (ssize_t)request.size()) {
+        printf("slow client: cannot send\n");
+    }
+    wait_run(deployment, "large");
+    deployment.signal_router(1, SIGTERM);
+    std::string response;
+    char buffer[4096];
+    int64_t signal_ms = now_ms();
+    for (bool is_open = true; is_open;) {
+        ssize_t n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        response.append(buffer, n > 0 ? (size_t)n : 0);
+        is_open = n > 0 || (n < 0 && errno == EAGAIN);
+        bool is_slow = now_ms() - signal_ms < exit_ms;
+        deployment.run_for(is_slow ? read_interval_ms : n < 0 ? 1 : 0);
+    }
+    close(fd);
+    size_t body = response.find("\r\n\r\n") + 4;
+    printf("slow client: %s\n",
+           response.compare(body, std::string::npos, plain_body("large")) == 0
+               ? "whole"
+               : "cut");
+}
+
 int
 main(int argc, char **argv)
 {
@@ -323,6 +376,7 @@
     scenario_runner_failures(deployment);
     scenario_drain(deployment);
     scenario_store_unavailable(deployment);
+    scenario_slow_client(deployment);
     for (size_t router = 0; router < 2; router++) {
         deployment.signal_router(router, SIGTERM);
     }
--- a/tests/standins/runner.cc
+++ b/tests/standins/runner.cc
@@ -31,7 +31,9 @@
 std::string
 plain_body(const std::string &request)
 {
-    return "answer to " + request + "\n";
+    const size_t large_bytes = 4000000;
+    return "answer to " + request + "\n" +
+           std::string(request == "large" ? large_bytes : 0, 'x');
 }
 
 // High for most requests, and for all requests to the largest model.
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -162,7 +162,8 @@
 size_t stream_event_count(const std::string &request);
 // Text of one of these events, as sent.
 std::string stream_event(const std::string &request, size_t index);
-// Body of the response to a request that is not a stream.
+// Body of the response to a request that is not a stream; 4 MB for the id
+// "large".
 std::string plain_body(const std::string &request);
 
 // A runner. What it responds follows from the id of the request.
