entry: a stopped entry left clients that still read their responses

Callers who read slowly saw their last response end early when the entry was stopped, with status 0 of the process.

Cause: the process exits 0.2 s after its last request has ended, whether evhttp has written the response or not.

Evidence: graceful_stop.test.sh, a client with a small window: 2,064,139 of 4,000,000 bytes with an exit after 0.2 s.

Change: the frontend keeps a request until evhttp has written its last byte or the connection is gone; while it has any, the exit waits, for up to 30 s.

--- a/programs/sassafrasd_frontend.c
+++ b/programs/sassafrasd_frontend.c
@@ -34,6 +34,8 @@
     uint64_t conn; /* id in events and effects */
     struct evhttp_request *http_request;
     struct event *close_event; /* the client closed its connection */
+    /* The response is complete, but the client has not received all of it. */
+    bool is_ended;
 };
 
 /* ---- helpers ---- */
@@ -137,8 +139,12 @@
     struct sl_runtime *runtime = request->frontend->runtime;
     struct evhttp_request *http_request = request->http_request;
     uint64_t conn = request->conn;
+    bool is_ended = request->is_ended;
     (void)connection;
     g_hash_table_remove(request->frontend->requests, &conn);
+    if (is_ended) {
+        return; /* evhttp frees a request that has ended */
+    }
     if (evhttp_request_get_connection(http_request) == NULL) {
         evhttp_request_free(http_request);
     }
@@ -269,18 +275,32 @@
     evbuffer_free(chunk);
 }
 
+/* Called by evhttp when the last byte of a response is written. */
 static void
-end_response(struct sl_frontend_request *request)
+on_written(struct evhttp_request *http_request, void *context)
 {
-    struct evhttp_request *http_request = request->http_request;
+    struct sl_frontend_request *request = context;
+    (void)http_request;
     g_hash_table_remove(request->frontend->requests, &request->conn);
-    evhttp_send_reply_end(http_request);
 }
 
+static void
+end_response(struct sl_frontend_request *request)
+{
+    request->is_ended = true;
+    event_del(request->close_event);
+    evhttp_request_set_on_complete_cb(request->http_request, on_written,
+                                      request);
+    evhttp_send_reply_end(request->http_request);
+}
+
+/* Returns the request whose response is not complete, or NULL. */
 static struct sl_frontend_request *
 find_request(struct sl_frontend *frontend, uint64_t conn)
 {
-    return g_hash_table_lookup(frontend->requests, &conn);
+    struct sl_frontend_request *request =
+        g_hash_table_lookup(frontend->requests, &conn);
+    return request == NULL || request->is_ended ? NULL : request;
 }
 
 void
@@ -326,6 +346,12 @@
 
 /* ---- public ---- */
 
+bool
+SlFrontend_HasUnsent(const struct sl_frontend *frontend)
+{
+    return g_hash_table_size(frontend->requests) > 0;
+}
+
 struct sl_frontend *
 SlFrontend_New(struct sl_runtime *runtime, struct sl_error *err)
 {
--- a/programs/sassafrasd_runtime.c
+++ b/programs/sassafrasd_runtime.c
@@ -7,7 +7,11 @@
 #include <time.h>
 
 /* Time for the last responses to be sent before the process exits. */
-#define Sl_EXIT_DELAY_MS 200
+#define Sl_EXIT_DELAY_US (200 * Sl_US_PER_MS)
+/* The same, while clients still read them. */
+#define Sl_MAX_EXIT_DELAY_US (30 * Sl_US_PER_S)
+/* Interval of the checks whether clients have read them. */
+#define Sl_EXIT_POLL_US (20 * Sl_US_PER_MS)
 
 /* ---- helpers ---- */
 
@@ -21,11 +25,33 @@
     return number;
 }
 
+/* Ends the event loop once the last responses are sent, or after
+ * Sl_MAX_EXIT_DELAY_US. Until then it runs again every Sl_EXIT_POLL_US. */
+static void
+exit_when_sent(evutil_socket_t fd, short what, void *context)
+{
+    static const struct timeval poll_interval = {0, Sl_EXIT_POLL_US};
+    struct sl_runtime *runtime = context;
+    int64_t waited_us = SlRuntime_NowUs() - runtime->exit_us;
+    bool has_unsent =
+        runtime->frontend != NULL && SlFrontend_HasUnsent(runtime->frontend);
+    (void)fd;
+    (void)what;
+    if (waited_us < Sl_EXIT_DELAY_US ||
+        (has_unsent && waited_us < Sl_MAX_EXIT_DELAY_US)) {
+        event_base_once(runtime->base, -1, EV_TIMEOUT, exit_when_sent, runtime,
+                        &poll_interval);
+    }
+    else {
+        event_base_loopexit(runtime->base, NULL);
+    }
+}
+
 static void
 schedule_exit(struct sl_runtime *runtime)
 {
-    struct timeval delay = {0, (suseconds_t)Sl_EXIT_DELAY_MS * 1000};
-    event_base_loopexit(runtime->base, &delay);
+    runtime->exit_us = SlRuntime_NowUs();
+    exit_when_sent(-1, 0, runtime);
 }
 
 static void
--- a/programs/sassafrasd_runtime.h
+++ b/programs/sassafrasd_runtime.h
@@ -36,6 +36,7 @@
     struct sl_frontend *frontend; /* entries only */
     struct sl_external_services *external;
     struct sl_admin *admin;
+    int64_t exit_us; /* when the core asked for the exit */
 };
 
 /* Listens on every address of the settings and starts the reducer. `settings`,
@@ -72,6 +73,8 @@
 struct sl_frontend *SlFrontend_New(struct sl_runtime *runtime,
                                    struct sl_error *err);
 void SlFrontend_Free(struct sl_frontend *frontend);
+/* Returns true if clients have not received all of their responses. */
+bool SlFrontend_HasUnsent(const struct sl_frontend *frontend);
 void SlFrontend_Perform(struct sl_frontend *frontend,
                         const struct sl_effect *effect);
 
--- a/tests/failure/graceful_stop.test.sh
+++ b/tests/failure/graceful_stop.test.sh
@@ -59,6 +59,42 @@
 check "verses that failed" \
     "$(grep -vc '^0 200 ran whole$' "$work/load-verses")" 0
 verses=$(cat "$work"/load-{brest,quimper,verses} | wc -l)
+
+# usage: read_slowly SECONDS ENTRY BYTES; sends a print order of so many bytes
+# through a connection with a small window, and prints the response. For
+# SECONDS, reads 4 KB in 250 ms, then as fast as it can.
+read_slowly()
+{
+    perl -MSocket -e '
+        my ($seconds, $address, $bytes) = @ARGV;
+        my ($host, $port) = split(/:/, $address);
+        socket(my $s, PF_INET, SOCK_STREAM, 0) or die;
+        setsockopt($s, SOL_SOCKET, SO_RCVBUF, 4096);
+        connect($s, pack_sockaddr_in($port, inet_aton($host))) or die;
+        my $request = "POST /v1/print-order HTTP/1.1\r\nHost: h\r\n" .
+            "Sassafras-Team: quimper-undertakers\r\n" .
+            "Sassafras-Kind: print-order\r\n" .
+            "Content-Length: $bytes\r\n\r\n" . "x" x $bytes;
+        while (length $request) {
+            substr($request, 0, syswrite($s, $request) || die, "");
+        }
+        my $started = time;
+        $| = 1;
+        while (sysread($s, my $part, 4096)) {
+            print $part;
+            select(undef, undef, undef, 0.25) if time - $started < $seconds;
+        }' "$1" "${entry_url[$2]#http://}" "$3"
+}
+
+echo "an entry stops while a client still reads"
+# The client reads for longer than the entry goes on accepting.
+start slow read_slowly 8 entry-brest 4000000
+wait_until 10 test -s "$work/slow.out"
+stop entry-brest || fail "the entry did not drain"
+wait "${pids[slow]}" || true
+check "echo of the slow client's order" \
+    "$(tr -cd x <"$work/slow.out" | wc -c)" 4000000
+
 wait_until 10 has_bill_count verse "$verses" ||
     fail "bills: $(bill_count verse)"
 check "bills of $verses verses" "$(bill_count verse)" "$verses"
