adapters: contexts of pending requests leaked when the client was freed

Cause: SlEvhttpClient_Free() drops pending requests without a callback, and the callbacks free the contexts.

Change: it ends them with Sl_ERR_LOST; the runtime ignores events while it is freed.

--- a/lib/adapters/sl_adapters.h
+++ b/lib/adapters/sl_adapters.h
@@ -37,8 +37,8 @@
 
 /* Borrows `base`. Free the result with SlEvhttpClient_Free(). */
 struct sl_evhttp_client *SlEvhttpClient_New(struct event_base *base);
-/* Closes all connections without running the callbacks of their requests, and
- * frees the client, which may be NULL. */
+/* Closes all connections, ends all requests with Sl_ERR_LOST, and frees the
+ * client, which may be NULL. Nothing may be sent from the callbacks. */
 void SlEvhttpClient_Free(struct sl_evhttp_client *client);
 
 struct sl_evhttp_header {
--- a/lib/adapters/sl_evhttp_client.c
+++ b/lib/adapters/sl_evhttp_client.c
@@ -461,6 +461,22 @@
     defer(call, on_deferred_failure);
 }
 
+/* Closes the call's connection and runs its `on_done`, unless the call was
+ * cancelled. */
+static void
+end_at_close(struct sl_evhttp_call *call)
+{
+    if (call->connection != NULL) {
+        evhttp_connection_free(call->connection);
+    }
+    if (call->cancelled) {
+        g_hash_table_remove(call->client->pending, &call->handle);
+        return;
+    }
+    set_error(call, Sl_ERR_LOST, "the client is closed");
+    finish_call(call, NULL);
+}
+
 /* ---- public ---- */
 
 struct sl_evhttp_client *
@@ -481,15 +497,11 @@
     if (client == NULL) {
         return;
     }
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, client->pending);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct sl_evhttp_call *call = value;
-        if (call->connection != NULL) {
-            evhttp_connection_free(call->connection);
-        }
+    GList *calls = g_hash_table_get_values(client->pending);
+    for (const GList *link = calls; link != NULL; link = link->next) {
+        end_at_close(link->data);
     }
+    g_list_free(calls);
     g_hash_table_destroy(client->pending);
     g_hash_table_destroy(client->idle);
     g_free(client);
--- a/programs/sassafrasd_runtime.c
+++ b/programs/sassafrasd_runtime.c
@@ -169,6 +169,7 @@
 void
 SlRuntime_Free(struct sl_runtime *runtime)
 {
+    runtime->is_closing = true;
     SlFrontend_Free(runtime->frontend);
     SlAdmin_Free(runtime->admin);
     SlPeerTransport_Free(runtime->peers);
@@ -183,6 +184,9 @@
 SlRuntime_Dispatch(struct sl_runtime *runtime, struct sl_event *event)
 {
     assert(!runtime->is_dispatching);
+    if (runtime->is_closing) {
+        return;
+    }
     runtime->is_dispatching = true;
     event->now_us = SlRuntime_NowUs();
     event->wall_ms = g_get_real_time() / 1000;
--- a/programs/sassafrasd_runtime.h
+++ b/programs/sassafrasd_runtime.h
@@ -32,6 +32,7 @@
     struct sl_effects *effects;
     struct event *timer;
     bool is_dispatching; /* an event is being processed */
+    bool is_closing;     /* events are ignored */
     struct sl_peer_transport *peers;
     struct sl_frontend *frontend; /* entries only */
     struct sl_external_services *external;
