tests: a stand-in holds an order until the entry is killed

Change: fake_plain responds to no call while "hold" is set; the two parts of the test that kill a process during an order use it instead of the second.

--- a/tests/failure/process_killed.test.sh
+++ b/tests/failure/process_killed.test.sh
@@ -32,7 +32,7 @@
 
 echo "an entry is killed during a stream and two orders"
 set_service_faults plume '{"tokens": 2000, "token_ms": 10}'
-set_service_faults atelier '{"service_ms": 1000}'
+set_service_faults atelier '{"hold": true}'
 issued=$(now_ms)
 # Of the two orders, `kept` is left alone after the crash and `resent` is sent
 # again through the other entry.
@@ -43,6 +43,7 @@
 wait_until 10 order_has_run kept
 wait_until 10 order_has_run resent
 kill_now entry-brest
+set_service_faults atelier '{"hold": false}'
 wait_call stream
 [ "$(curl_exit stream)" != 0 ] ||
     fail "the client takes a truncated stream for complete"
@@ -94,11 +95,13 @@
 start_agent "$victim"
 
 echo "an agent is killed during an order"
+set_service_faults atelier '{"hold": true}'
 issued=$(now_ms)
 order_in_background lost entry-brest lost "$issued"
 wait_until 10 order_has_run lost
 victim=$(find_upstream atelier upstream_ran_order lost)
 kill_now "agent-$victim"
+set_service_faults atelier '{"hold": false}'
 wait_call lost
 check "status of the order" "$(status)" 502
 check "outcome of the order" "$(header Sassafras-Outcome)" unknown
--- a/tests/fakes/fake_plain.c
+++ b/tests/fakes/fake_plain.c
@@ -5,6 +5,7 @@
  *
  * Settings: service_ms  duration of a call
  *           capacity    concurrent calls; further calls are rejected with 503
+ *           hold        respond to no call until this is set back to false
  * Control requests: GET /ran returns the calls that were executed.
  */
 #include "common.h"
@@ -18,6 +19,8 @@
 struct sl_fake_plain {
     int64_t service_ms;
     int64_t capacity;
+    gboolean hold;
+    GQueue held; /* struct sl_fake_call, whose responses wait for `hold` */
     int64_t running;
     char *boot;
     json_t *run_log; /* array of the entries of /ran */
@@ -42,15 +45,47 @@
     return Sl_OK;
 }
 
+static void
+finish_call(struct sl_fake_call *call)
+{
+    call->plain->running--;
+    SlFake_Respond(call->request, HTTP_OK, call->response);
+    g_free(call);
+}
+
 static void
 on_call_done(evutil_socket_t fd, short what, void *arg)
 {
     (void)fd;
     (void)what;
     struct sl_fake_call *call = arg;
-    call->plain->running--;
-    SlFake_Respond(call->request, HTTP_OK, call->response);
-    g_free(call);
+    if (call->plain->hold) {
+        g_queue_push_tail(&call->plain->held, call);
+    }
+    else {
+        finish_call(call);
+    }
+}
+
+static void
+on_faults_changed(void *context)
+{
+    struct sl_fake_plain *plain = context;
+    while (!plain->hold && !g_queue_is_empty(&plain->held)) {
+        finish_call(g_queue_pop_head(&plain->held));
+    }
+}
+
+/* The framework frees the requests. */
+static void
+close_plain(void *context)
+{
+    struct sl_fake_plain *plain = context;
+    struct sl_fake_call *call;
+    while ((call = g_queue_pop_head(&plain->held)) != NULL) {
+        json_decref(call->response);
+        g_free(call);
+    }
 }
 
 static void
@@ -131,6 +166,7 @@
     const struct sl_fake_setting settings[] = {
         {"service_ms", Sl_FAKE_INT, &plain.service_ms},
         {"capacity", Sl_FAKE_INT, &plain.capacity},
+        {"hold", Sl_FAKE_BOOL, &plain.hold},
         {0},
     };
     const char *const control_patterns[] = {"GET /ran", NULL};
@@ -141,6 +177,8 @@
         .control_patterns = control_patterns,
         .open = open_plain,
         .serve = serve,
+        .on_faults_changed = on_faults_changed,
+        .close = close_plain,
     };
     plain.run_log = json_array();
     int result = SlFake_RunMain(argc, argv, &spec);
