--- a/tests/failure/operators.test.sh
+++ b/tests/failure/operators.test.sh
@@ -116,6 +116,9 @@
 for place in brest quimper vannes; do
     wait_until 20 has_version "plume-$place"
 done
+# The engines have the version before the entries have heard so.
+wait_version_loaded entry-brest plume-large-2 3
+wait_version_loaded entry-quimper plume-large-2 3
 # usage: print_session_versions ENTRY; sends a verse of each session and prints
 # "SESSION STATUS VERSION"
 print_session_versions()
