--- a/lib/routing/sl_routing.c
+++ b/lib/routing/sl_routing.c
@@ -21,6 +21,7 @@
     GPtrArray *teams;    /* struct sl_team, owned */
     /* Indexes of the arrays above. */
     GHashTable *by_name;   /* service name -> struct sl_route_service */
+    GHashTable *by_team;   /* team name -> struct sl_team */
     GHashTable *by_prefix; /* host and prefix of a route -> the route itself */
     GArray *prefix_lens;   /* size_t, lengths of the prefixes, longest first */
     GHashTable *by_key;    /* API key -> struct sl_team */
@@ -90,6 +91,7 @@
     routing->routes = g_ptr_array_new_with_free_func(free_route);
     routing->teams = g_ptr_array_new_with_free_func(free_team);
     routing->by_name = g_hash_table_new(SlName_TableHash, SlName_TableEqual);
+    routing->by_team = g_hash_table_new(SlName_TableHash, SlName_TableEqual);
     routing->by_prefix = g_hash_table_new(hash_prefix, equal_prefix);
     routing->prefix_lens = g_array_new(FALSE, FALSE, sizeof(size_t));
     routing->by_key =
@@ -113,6 +115,7 @@
     g_hash_table_destroy(routing->by_key);
     g_hash_table_destroy(routing->by_prefix);
     g_array_free(routing->prefix_lens, TRUE);
+    g_hash_table_destroy(routing->by_team);
     g_hash_table_destroy(routing->by_name);
     g_ptr_array_free(routing->teams, TRUE);
     g_ptr_array_free(routing->routes, TRUE);
@@ -192,29 +195,18 @@
     return Sl_OK;
 }
 
-static struct sl_team *
-find_team(const struct sl_routing *routing, const struct sl_name *name)
-{
-    for (guint i = 0; i < routing->teams->len; i++) {
-        struct sl_team *team = routing->teams->pdata[i];
-        if (SlName_Equal(&team->name, name)) {
-            return team;
-        }
-    }
-    return NULL;
-}
-
 enum sl_errno
 SlRouting_AddTeam(struct sl_routing *routing, const struct sl_team *team,
                   struct sl_error *err)
 {
-    if (find_team(routing, &team->name) != NULL) {
+    if (SlRouting_FindTeam(routing, &team->name) != NULL) {
         return report_duplicate(err, "team", team->name.text);
     }
     struct sl_team *copy = g_memdup2(team, sizeof(*team));
     copy->regions =
         g_memdup2(team->regions, team->region_count * sizeof(*team->regions));
     g_ptr_array_add(routing->teams, copy);
+    g_hash_table_insert(routing->by_team, &copy->name, copy);
     return Sl_OK;
 }
 
@@ -222,7 +214,7 @@
 SlRouting_AddKey(struct sl_routing *routing, struct sl_str key,
                  const struct sl_name *team, struct sl_error *err)
 {
-    struct sl_team *key_team = find_team(routing, team);
+    struct sl_team *key_team = g_hash_table_lookup(routing->by_team, team);
     assert(key_team != NULL);
     if (g_hash_table_contains(routing->by_key, &key)) {
         return report_duplicate(err, "a key of team", team->text);
@@ -306,6 +298,54 @@
     return routing->routes->len;
 }
 
+const struct sl_route *
+SlRouting_Route(const struct sl_routing *routing, size_t index)
+{
+    return routing->routes->pdata[index];
+}
+
+const struct sl_route *
+SlRouting_FindRoute(const struct sl_routing *routing, struct sl_str host,
+                    struct sl_str prefix)
+{
+    const struct sl_route wanted = {.host = host, .prefix = prefix};
+    return g_hash_table_lookup(routing->by_prefix, &wanted);
+}
+
+size_t
+SlRouting_TeamCount(const struct sl_routing *routing)
+{
+    return routing->teams->len;
+}
+
+const struct sl_team *
+SlRouting_Team(const struct sl_routing *routing, size_t index)
+{
+    return routing->teams->pdata[index];
+}
+
+const struct sl_team *
+SlRouting_FindTeam(const struct sl_routing *routing,
+                   const struct sl_name *name)
+{
+    return g_hash_table_lookup(routing->by_team, name);
+}
+
+void
+SlRouting_VisitKeys(const struct sl_routing *routing,
+                    void (*visit)(void *context, struct sl_str key,
+                                  const struct sl_team *team),
+                    void *context)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer team;
+    g_hash_table_iter_init(&iter, routing->by_key);
+    while (g_hash_table_iter_next(&iter, &key, &team)) {
+        visit(context, *(const struct sl_str *)key, team);
+    }
+}
+
 size_t
 SlRouting_ServiceCount(const struct sl_routing *routing)
 {
--- a/lib/routing/sl_routing.h
+++ b/lib/routing/sl_routing.h
@@ -165,6 +165,27 @@
 SlRouting_FindService(const struct sl_routing *routing,
                       const struct sl_name *name);
 size_t SlRouting_RouteCount(const struct sl_routing *routing);
+/* Returns a route by its index, which is below SlRouting_RouteCount(). Indexes
+ * of routes, services and teams are in the order of their addition. */
+const struct sl_route *SlRouting_Route(const struct sl_routing *routing,
+                                       size_t index);
+/* Returns the route with this host, compared without case, and this prefix, or
+ * NULL. */
+const struct sl_route *SlRouting_FindRoute(const struct sl_routing *routing,
+                                           struct sl_str host,
+                                           struct sl_str prefix);
+size_t SlRouting_TeamCount(const struct sl_routing *routing);
+/* Returns a team by its index, which is below SlRouting_TeamCount(). */
+const struct sl_team *SlRouting_Team(const struct sl_routing *routing,
+                                     size_t index);
+/* Returns the team of this name, or NULL. */
+const struct sl_team *SlRouting_FindTeam(const struct sl_routing *routing,
+                                         const struct sl_name *name);
+/* Calls `visit` with each API key, in no order. */
+void SlRouting_VisitKeys(const struct sl_routing *routing,
+                         void (*visit)(void *context, struct sl_str key,
+                                       const struct sl_team *team),
+                         void *context);
 size_t SlRouting_ServiceCount(const struct sl_routing *routing);
 /* Returns a service by its index, which is below SlRouting_ServiceCount(). */
 const struct sl_route_service *
