--- a/programs/sassafrasctl.c
+++ b/programs/sassafrasctl.c
@@ -57,8 +57,9 @@
     "  counters             show the counters of each process at --admin\n"
     "  check-platform FILE...\n"
     "                       check a router's settings (lines of key=value) "
-    "or\n"
-    "                       a routing configuration (a JSON object)\n"
+    "and\n"
+    "                       routing configurations (JSON objects), and show\n"
+    "                       what differs from --against or --store\n"
     "  explain ID LOG...    show what happened to a request, from routers'\n"
     "                       logs; - reads standard input";
 
@@ -70,6 +71,8 @@
     "  3  conflict: another operator changed the key first\n"
     "  4  the log or a process is unreachable or cannot be used\n"
     "  5  not in force on all processes in time\n"
+    "Of check-platform: 0 clean, or warnings; 1 warnings, with --strict;\n"
+    "  2 errors, or usage; 3 the store was not reached\n"
     "\n"
     "Example:\n"
     "  sassafrasctl --log 10.0.0.5:7000 mark domain quimper out \\\n"
@@ -165,6 +168,12 @@
     if (options->log != NULL && !SlSettings_IsAddress(options->log)) {
         return report_usage("--log is not IP:PORT: ", options->log);
     }
+    if (options->store != NULL && !SlSettings_IsAddress(options->store)) {
+        return report_usage("--store is not IP:PORT: ", options->store);
+    }
+    if (options->store != NULL && options->against != NULL) {
+        return report_usage("give --store or --against, not both", "");
+    }
     for (char **address = options->admin; address != NULL && *address != NULL;
          address++) {
         if (!SlSettings_IsAddress(*address)) {
@@ -279,6 +288,15 @@
          "Longest time to wait until in force; 10000 by default", "MS"},
         {"timeout-ms", 0, 0, G_OPTION_ARG_INT, &options->timeout_ms,
          "Longest time to wait for a response; 5000 by default", "MS"},
+        {"strict", 0, 0, G_OPTION_ARG_NONE, &options->strict,
+         "With check-platform: exit with 1 if there are warnings", NULL},
+        {"against", 0, 0, G_OPTION_ARG_FILENAME, &options->against,
+         "With check-platform: show what differs from this file", "FILE"},
+        {"store", 0, 0, G_OPTION_ARG_STRING, &options->store,
+         "With check-platform: show what differs from the store's version",
+         "IP:PORT"},
+        {"deadline-ms", 0, 0, G_OPTION_ARG_INT, &options->deadline_ms,
+         "With check-platform: longest deadline that clients send", "MS"},
         {"json", 'j', 0, G_OPTION_ARG_NONE, &options->json,
          "Print one JSON document instead of text", NULL},
         {0},
@@ -317,6 +335,8 @@
     }
     g_free(options.log);
     g_free(options.by);
+    g_free(options.store);
+    g_free(options.against);
     g_strfreev(options.admin);
     return result;
 }
--- a/programs/sassafrasctl.h
+++ b/programs/sassafrasctl.h
@@ -26,6 +26,14 @@
     Sl_EXIT_NOT_IN_FORCE = 5,
 };
 
+/* Exit codes of check-platform. */
+enum sl_ctl_platform_exit {
+    Sl_PLATFORM_EXIT_CLEAN = 0,
+    Sl_PLATFORM_EXIT_WARNINGS = 1, /* with --strict */
+    Sl_PLATFORM_EXIT_ERRORS = 2,
+    Sl_PLATFORM_EXIT_NOT_REACHED = 3, /* the store */
+};
+
 /* Options of the command line, checked. */
 struct sl_ctl_options {
     char *log;    /* address of the log service, or NULL */
@@ -36,6 +44,11 @@
     gboolean wait;
     int timeout_ms;
     int wait_ms;
+    /* Of check-platform. */
+    char *store;   /* address of the platform's store, or NULL */
+    char *against; /* file with another version, or NULL */
+    gboolean strict;
+    int deadline_ms; /* longest one that clients send; 0: not known */
 };
 
 /* State of one run of the program. */
--- a/programs/sassafrasctl_check.c
+++ b/programs/sassafrasctl_check.c
@@ -1,7 +1,6 @@
-/* `check` and `check-platform`: validate settings and configuration files. */
+/* `check`: validates settings and configuration files. */
 #include "sassafrasctl.h"
 #include "settings.h"
-#include "sl_platform.h"
 
 /* ---- helpers ---- */
 
@@ -92,47 +91,13 @@
     return Sl_OK;
 }
 
-/* Checks a routing configuration as the store holds it, which is a JSON
- * object, or the settings of a router. */
-static enum sl_errno
-check_platform_file(const char *path, struct sl_error *err)
-{
-    struct sl_platform_settings settings;
-    struct sl_record record = {0};
-    GError *error = NULL;
-    char *text;
-    gsize len;
-    if (!g_file_get_contents(path, &text, &len, &error)) {
-        (void)SlError_Set(err, Sl_ERR_INVALID, "check", path, "%s",
-                          error->message);
-        g_error_free(error);
-        return Sl_ERR_INVALID;
-    }
-    struct sl_str content = {text, len};
-    enum sl_errno code = Sl_OK;
-    if (len > 0 && text[0] == '{') {
-        SlPlatform_DecodeRouting(content, &record);
-        if (record.type == Sl_RECORD_UNREADABLE) {
-            *err = record.u.err;
-            code = err->code;
-        }
-        SlPlatform_ClearRecord(&record);
-    }
-    else {
-        code = SlPlatform_ParseSettings(content, &settings, err);
-    }
-    g_free(text);
-    return code;
-}
-
-static enum sl_ctl_exit
-check_all(struct sl_ctl *ctl, char **paths,
-          enum sl_errno (*check)(const char *path, struct sl_error *err))
+enum sl_ctl_exit
+SlCtl_Check(struct sl_ctl *ctl, char **paths)
 {
     enum sl_ctl_exit result = Sl_EXIT_OK;
     for (; *paths != NULL; paths++) {
         struct sl_error err = {0};
-        bool valid = check(*paths, &err) == Sl_OK;
+        bool valid = check_file(*paths, &err) == Sl_OK;
         SlCtl_Print(ctl, "%s: %s", *paths, valid ? "valid" : err.text);
         json_t *item = json_pack("{s:s, s:b}", "file", *paths, "valid", valid);
         if (!valid) {
@@ -143,15 +108,3 @@
     }
     return result;
 }
-
-enum sl_ctl_exit
-SlCtl_Check(struct sl_ctl *ctl, char **args)
-{
-    return check_all(ctl, args, check_file);
-}
-
-enum sl_ctl_exit
-SlCtl_CheckPlatform(struct sl_ctl *ctl, char **args)
-{
-    return check_all(ctl, args, check_platform_file);
-}
--- a/tests/soak/scenarios.cc
+++ b/tests/soak/scenarios.cc
@@ -12,6 +12,9 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <thread>
 
 #include "deployment.h"
 
@@ -295,8 +298,43 @@
     deployment.store->fault = StoreFault::none;
 }
 
-// Time after SIGTERM at which the router exits if it has no work left. Its
-// grace time, of 8 s, is not over then.
+// An operator checks a configuration against the one in the store, which
+// answers, and then does not.
+static void
+scenario_check(Deployment &deployment, const std::string &program,
+               const std::string &dir)
+{
+    const std::string &frontend = deployment.routers[0].frontend;
+    size_t colon = frontend.find(':');
+    std::string store =
+        frontend.substr(0, colon + 1) +
+        std::to_string(std::stoi(frontend.substr(colon + 1)) + 2);
+    std::string config = deployment.store->get("keyed.op", "config");
+    std::ofstream(dir + "/next.json")
+        << config.replace(config.find("\"/s/\""), 5, "\"/t/\"");
+    for (StoreFault fault : {StoreFault::none, StoreFault::silent}) {
+        deployment.store->fault = fault;
+        std::string command = "cd '" + dir + "' && { '" + program +
+                              "' check-platform next.json" + " --store " +
+                              store + "; echo exit $?; } >check.part 2>&1; " +
+                              "mv check.part check.out";
+        std::thread operator_thread(
+            [&command] { (void)!system(command.c_str()); });
+        deployment.run_until(step_timeout_ms, [&dir] {
+            return access((dir + "/check.out").c_str(), F_OK) == 0;
+        });
+        operator_thread.join();
+        printf("%s",
+               std::string(std::istreambuf_iterator<char>(
+                               std::ifstream(dir + "/check.out").rdbuf()),
+                           {})
+                   .c_str());
+        remove((dir + "/check.out").c_str());
+    }
+    deployment.store->fault = StoreFault::none;
+}
+
+// Time after SIGTERM at which a router has exited if it has no work left.
 static const int64_t exit_ms = 4500;
 // Until then, the slow client reads once in this time.
 static const int64_t read_interval_ms = 250;
@@ -306,6 +344,14 @@
 static void
 scenario_slow_client(Deployment &deployment)
 {
+    // Until the end of a longer grace time, the client can read all.
+    deployment.extra_settings = "Bounds.GraceS=20\n";
+    deployment.signal_router(1, SIGTERM);
+    deployment.run_until(step_timeout_ms, [&deployment] {
+        return deployment.routers[1].pid == 0;
+    });
+    deployment.start_router(1);
+    wait_usable_upstreams(deployment, "atelier", 2);
     const std::string &address = deployment.routers[1].frontend;
     const std::string request = "POST /c/x HTTP/1.1\r\nHost: h\r\n"
                                 "Sassafrasledge-Request-Id: large\r\n"
@@ -376,6 +422,10 @@
     scenario_runner_failures(deployment);
     scenario_drain(deployment);
     scenario_store_unavailable(deployment);
+    scenario_check(deployment,
+                   options.program.substr(0, options.program.rfind('/')) +
+                       "/sassafrasctl",
+                   options.dir);
     scenario_slow_client(deployment);
     for (size_t router = 0; router < 2; router++) {
         deployment.signal_router(router, SIGTERM);
