pace: how long work takes at an upstream, stated, measured and reported

Cause: upstreams of one service differ, and share their machines. The fourth figure of their load header says so, many times a second; where none is given, only the times of responses tell. Nothing kept either.

Change: lib/pace. Only slowness counts at once: an upstream that is fast for a moment attracts no router. Peers' reports count once, by when they were learned. The header's estimate is named sl_upstream_pace: sl_rollout_evidence.c has a sl_pace_estimate.

--- a/lib/pace/sl_pace.h
+++ b/lib/pace/sl_pace.h
@@ -7,7 +7,10 @@
  * others is learned from the times of their responses, at all routers.
  *
  * A pace only shifts the choice between upstreams; it never ejects one. It is
- * bounded, and returns to the usual when nothing is heard.
+ * bounded, and returns to the usual when nothing is heard. An upstream that is
+ * slow at this moment is avoided at once, by all; one that is fast at this
+ * moment attracts nothing until it has been fast for long, so that the routers
+ * do not all choose the same one.
  *
  * One `struct sl_pace` is of one upstream. Nothing here has a clock or a
  * network. Times are in microseconds on the caller's monotonic clock.
@@ -24,6 +27,10 @@
 
 /* ---- 1. Pace ---------------------------------------------------------- */
 
+/* Bounds of a factor. */
+#define Sl_PACE_MIN 0.5
+#define Sl_PACE_MAX 4.0
+
 struct sl_pace;
 
 /* Returns the pace of an upstream of which nothing is known; the caller frees
@@ -36,13 +43,16 @@
 /* ---- 2. Evidence ------------------------------------------------------ */
 
 /* Handles a response in which the upstream has stated its pace: `percent` of
- * the usual time, 100 for the usual. */
+ * the usual time, 100 for the usual. Figures that no machine would state are
+ * ignored. */
 void SlPace_OnStated(struct sl_pace *pace, int64_t now_us, int64_t percent);
 /* Handles a response that took `took_us` and would usually have taken
- * `expected_us`, load and prompt considered. */
+ * `expected_us`, load and prompt considered. Ignored while the upstream states
+ * its pace. */
 void SlPace_OnMeasured(struct sl_pace *pace, int64_t now_us,
                        int64_t expected_us, int64_t took_us);
-/* Handles a peer's report, `report->age_ms` old. */
+/* Handles a peer's report, `report->age_ms` old. One that is not newer than
+ * what is known is ignored, so that what several peers repeat counts once. */
 void SlPace_OnReport(struct sl_pace *pace, int64_t now_us,
                      const struct sl_gossip_pace *report);
 
@@ -55,17 +65,18 @@
     Sl_PACE_REPORTED, /* by a peer */
 };
 
-struct sl_pace_estimate {
+struct sl_upstream_pace {
     double factor;  /* of the usual time; 1: as usual */
     double doubt;   /* standard deviation of the factor, of the evidence */
     int64_t age_us; /* of the newest evidence; 0 if the source is UNKNOWN */
     enum sl_pace_source source;
 };
 
-struct sl_pace_estimate SlPace_Estimate(const struct sl_pace *pace,
+struct sl_upstream_pace SlPace_Estimate(const struct sl_pace *pace,
                                         int64_t now_us);
 /* Fills in what this router itself has learned, but for the upstream. Returns
- * false if there is nothing that the peers should hear of. */
+ * false if there is nothing that the peers should hear of: nothing new, or the
+ * usual pace where none is stated. */
 bool SlPace_FillReport(const struct sl_pace *pace, int64_t now_us,
                        struct sl_gossip_pace *report);
 
