platform: the fourth figure of an upstream's load

Cause: some upstreams state their pace as a fourth figure. It was not read, and the third one, the slots, became -1 with it.

--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -236,8 +236,10 @@
     int64_t running;     /* requests that run at the upstream */
     int64_t waiting;     /* requests that the upstream has queued */
     int64_t slots;       /* requests that the upstream runs at once */
-    int confidence;      /* 0 to 100; -1: not given */
-    bool is_leaving;     /* the upstream will soon refuse requests */
+    int64_t pace_percent; /* how long work takes there now, in per cent of the
+                             usual time; 0: not given */
+    int confidence;       /* 0 to 100; -1: not given */
+    bool is_leaving;      /* the upstream will soon refuse requests */
     int64_t retry_after_us;      /* 0: not given */
     bool retry_after_is_invalid; /* Retry-After was given, but is unusable */
     int64_t cold_us; /* remaining time of the cold start; 0: warm; -1: not
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -301,6 +301,34 @@
     EXPECT_NE(text(response.headers).find("Server-Stamp"), std::string::npos);
 }
 
+// The load of an upstream with and without its pace, and odd figures.
+TEST_F(PlatformHeaders, DecodesPace)
+{
+    const struct {
+        const char *load;
+        int64_t slots;
+        int64_t percent;
+    } cases[] = {
+        {"12,3,64", 64, 0},           {"12,3,64,130", 64, 130},
+        {"12, 3, 64, 130 ", 64, 130}, {"12,3,64,", 64, 0},
+        {"12,3,64,-5", 64, 0},        {"12,3,64,1.3", 64, 0},
+        {"12,3,64,fast", 64, 0},      {"12,3,64,130x", 64, 0},
+        {"12,3,64,130,9", 64, 130},   {"12,3,64,9999999999999999999", 64, 0},
+        {"12,3,,130", -1, 130},
+    };
+    for (const auto &example : cases) {
+        struct sl_response_head response;
+        head = {};
+        add_header(&head, "Sassafrasledge-Runner-Load", example.load);
+        SlPlatform_DecodeResponse(&head, &forwarded, &response);
+        EXPECT_TRUE(response.has_load) << example.load;
+        EXPECT_EQ(response.running, 12) << example.load;
+        EXPECT_EQ(response.waiting, 3) << example.load;
+        EXPECT_EQ(response.slots, example.slots) << example.load;
+        EXPECT_EQ(response.pace_percent, example.percent) << example.load;
+    }
+}
+
 // Retry-After is a number of seconds with an optional fraction; any other
 // value, such as a date, is marked as unusable.
 TEST_F(PlatformHeaders, ParsesRetryAfter)
