router: the pace of upstreams counts in placement

Cause: a placement took all upstreams of a service for equally fast.

Change: the estimated time to the first event is multiplied by the upstream's pace; at a plain service the difference in run time counts as well. Stated paces come from heads of responses, measured ones from successes at lightly loaded, warm upstreams, and both go to the peers in digests. The usual times are learned at the usual pace. A restarted or replaced upstream has no pace. The line `sent` tells a pace that is not the usual, with source and age. Without evidence nothing changes; all earlier scripts pass as they were.

Result: test_router 178 passed, with the script pace; ASan and UBSan too.

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -118,6 +118,7 @@
     digest->staleness_ms = SlFeeds_StalenessMs(router);
     fill_loads(router, digest);
     fill_faults(router, digest);
+    SlUpstreamPace_AddToDigest(router, digest);
     digest->rollout_count = 0;
     SlRollouts_AddToDigest(router, digest);
     SlQuarantine_FillReport(router->quarantine, router->now_us,
@@ -483,6 +484,7 @@
     for (size_t i = 0; i < digest->fault_count; i++) {
         SlUpstreams_OnReportedFault(router, &digest->vm, &digest->faults[i]);
     }
+    SlUpstreamPace_OnDigest(router, digest);
     for (size_t i = 0; i < digest->rollout_count; i++) {
         SlRollouts_OnReport(router, &digest->vm, &digest->rollouts[i]);
     }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -159,22 +159,29 @@
 
 /* Returns the estimated time to the first event. Engines interleave prefill
  * with the tokens of other streams, so that prefill takes longer under load.
- */
+ * At a plain service, where all upstreams need the same time for a request at
+ * the usual pace, only what differs between them counts. */
 static int64_t
 first_event_us(const struct sl_router *router,
                const struct sl_routed_request *request,
                const struct sl_router_upstream *upstream)
 {
     int64_t load = SlUpstreams_Load(router, upstream);
+    double pace = SlUpstreamPace_Factor(router, upstream);
     if (!request->service->is_engine) {
-        return Sl_FULL_LOAD_US * load / slots_of(upstream);
+        int64_t extra_us = Sl_FULL_LOAD_US * load / slots_of(upstream);
+        int64_t run_us = SlLatency_MeanRunUs(router, &request->service->name);
+        return (int64_t)(pace * (double)extra_us +
+                         (pace - 1) * (double)run_us);
     }
     struct sl_name model = {0};
     (void)SlName_Set(&model, SlRoutedRequest_Model(request));
     int64_t prefill_us = SlLatency_PrefillUs(
         router, &model, uncached_tokens_of(request, upstream));
-    return SlUpstreams_PrefillBacklogUs(router, upstream) + prefill_us +
-           (int64_t)(Sl_PREFILL_STALL_SHARE * (double)(prefill_us * load));
+    int64_t usual_us =
+        SlUpstreams_PrefillBacklogUs(router, upstream) + prefill_us +
+        (int64_t)(Sl_PREFILL_STALL_SHARE * (double)(prefill_us * load));
+    return (int64_t)(pace * (double)usual_us);
 }
 
 /* Returns a part of `largest_us` that depends on the hash and the upstream. */
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -132,6 +132,7 @@
                  const struct sl_routed_request *request, int64_t took_us)
 {
     const struct sl_upstream_call *call = &request->upstream_call;
+    int64_t usual_us = SlUpstreamPace_UsualUs(router, call, took_us);
     if (!call->at_baseline &&
         SlRollouts_IsRunning(router, &request->service->name)) {
         return;
@@ -139,10 +140,11 @@
     if (request->service->is_engine && call->was_idle) {
         struct sl_name model = {0};
         (void)SlName_Set(&model, SlRoutedRequest_Model(request));
-        SlLatency_LearnPrefill(router, &model, call->uncached_tokens, took_us);
+        SlLatency_LearnPrefill(router, &model, call->uncached_tokens,
+                               usual_us);
     }
     if (!request->service->is_engine && !call->was_cold) {
-        SlLatency_LearnRouteHead(router, &request->route->name, took_us);
+        SlLatency_LearnRouteHead(router, &request->route->name, usual_us);
     }
 }
 
@@ -164,6 +166,9 @@
     if (!failed) {
         learn_usual_time(router, request, took_us);
     }
+    if (is_success(&call->head)) {
+        SlUpstreamPace_OnMeasured(router, call, usual_us, took_us);
+    }
 }
 
 /* Decides whether to discard the response, so that a larger model responds
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -31,6 +31,7 @@
  * sl_peers.c             the other routers
  * sl_upstreams.c         state of upstreams
  * sl_upstream_notices.c  announcements that upstreams make in responses
+ * sl_upstream_pace.c     how long work takes at upstreams, as against usual
  * sl_latency_estimate.c  estimates of prefill and run times
  * sl_event_splitter.c    splits a stream into events
  * sl_router_metrics.c    metrics for operators
@@ -116,6 +117,7 @@
     /* What its prefix cache is expected to hold: key -> struct
      * sl_cached_prefix_part, owned. */
     GHashTable *cached_prefix_parts;
+    struct sl_pace *pace; /* owned */
 };
 
 /* What an upstream has announced in its responses. */
@@ -346,9 +348,11 @@
     int64_t uncached_tokens; /* prompt tokens that the upstream is estimated
                                 not to have in its prefix cache */
     bool is_prefilling;      /* its prompt counts in the prefill backlog */
-    bool was_idle;   /* the upstream had no prefill backlog when it was sent */
-    bool was_cold;   /* the upstream was cold when it was sent */
-    bool is_suspect; /* its request is a suspect, and it has not begun */
+    bool was_idle; /* the upstream had no prefill backlog when it was sent */
+    bool was_cold; /* the upstream was cold when it was sent */
+    /* At most half of the upstream's slots were in use when it was sent. */
+    bool was_lightly_loaded;
+    bool is_suspect;  /* its request is a suspect, and it has not begun */
     bool at_baseline; /* at a version that a roll-out replaces */
     bool has_head;    /* its response has begun */
     bool has_event;   /* its response, a stream, has sent an event */
@@ -886,7 +890,8 @@
 int64_t SlLatency_PrefillUs(const struct sl_router *router,
                             const struct sl_name *model,
                             int64_t uncached_tokens);
-/* Updates that estimate with an observation at an idle upstream. */
+/* Updates that estimate with an observation at an idle upstream of the usual
+ * pace. */
 void SlLatency_LearnPrefill(struct sl_router *router,
                             const struct sl_name *model,
                             int64_t uncached_tokens, int64_t took_us);
@@ -904,6 +909,41 @@
 void SlLatency_LearnRun(struct sl_router *router,
                         const struct sl_name *service, int64_t took_us);
 
+/* ---- pace of upstreams ---- */
+
+/* Returns the time that work takes at the upstream now, relative to the usual.
+ * 1 if nothing is known. */
+double SlUpstreamPace_Factor(const struct sl_router *router,
+                             const struct sl_router_upstream *upstream);
+/* Handles the head of a response, in which the upstream may state its pace. */
+void SlUpstreamPace_OnHead(struct sl_router *router,
+                           struct sl_router_upstream *upstream,
+                           const struct sl_response_head *head);
+/* Returns true if the upstream is known to have at most half of its slots in
+ * use, so that its load does not influence the time of a response much. */
+bool SlUpstreamPace_IsLightlyLoaded(const struct sl_router *router,
+                                    const struct sl_router_upstream *upstream);
+/* Returns the time that the call, which took `took_us` until its head, would
+ * have taken at the usual pace. */
+int64_t SlUpstreamPace_UsualUs(const struct sl_router *router,
+                               const struct sl_upstream_call *call,
+                               int64_t took_us);
+/* Handles a successful call that took `took_us` until its head, and usually
+ * would have taken `usual_us`, 0 if that is not known. */
+void SlUpstreamPace_OnMeasured(struct sl_router *router,
+                               const struct sl_upstream_call *call,
+                               int64_t usual_us, int64_t took_us);
+/* Adds the upstream's pace to the log line that is being written, unless it is
+ * the usual one. */
+void SlUpstreamPace_AddToLog(struct sl_router *router,
+                             const struct sl_router_upstream *upstream);
+/* Adds what this router has learned lately to a digest. */
+void SlUpstreamPace_AddToDigest(const struct sl_router *router,
+                                struct sl_gossip_digest *digest);
+/* Handles what a peer has learned. */
+void SlUpstreamPace_OnDigest(struct sl_router *router,
+                             const struct sl_gossip_digest *digest);
+
 /* ---- peers ---- */
 
 /* Adds or updates the peer that a member record of the store is about. */
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -33,6 +33,7 @@
                       : (router->now_us - upstream->load_reported_us) /
                             Sl_US_PER_MS);
     SlLogLine_Int(router, "peers_in_flight", upstream->peers_in_flight);
+    SlUpstreamPace_AddToLog(router, upstream);
     SlLogLine_Int(router, "expected_ms", call->expected_us / Sl_US_PER_MS);
     SlLogLine_Int(router, "uncached_tokens", call->uncached_tokens);
     SlLogLine_Name(router, "version", &upstream->registration.version);
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -1,5 +1,6 @@
 /* State of upstreams: registration, load, prefix cache, failures, cold start.
  * An upstream that has failed is ejected: it gets no requests for a time. */
+#include "sl_pace.h"
 #include "sl_router_internal.h"
 
 /* Time after the store is available again during which an upstream is kept
@@ -37,6 +38,7 @@
 {
     struct sl_router_upstream *upstream = data;
     g_hash_table_destroy(upstream->cached_prefix_parts);
+    SlPace_Free(upstream->pace);
     g_free(upstream);
 }
 
@@ -105,6 +107,7 @@
     upstream->registration = *reg;
     upstream->cached_prefix_parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    upstream->pace = SlPace_New();
     upstream->key = (uint32_t)SlHash_Bytes(0, SlName_Str(&reg->id));
     g_hash_table_insert(router->upstreams, &upstream->registration.id,
                         upstream);
@@ -144,6 +147,7 @@
 reset_instance(struct sl_router *router, struct sl_router_upstream *upstream)
 {
     g_hash_table_remove_all(upstream->cached_prefix_parts);
+    SlPace_Reset(upstream->pace);
     upstream->restarted_us = router->now_us;
     upstream->failures = 0;
     upstream->ejected_until_us = 0;
@@ -402,6 +406,8 @@
     struct sl_name model = {0};
     call->was_idle = SlUpstreams_PrefillBacklogUs(router, upstream) == 0;
     call->was_cold = SlColdLimit_IsCold(router, upstream, request->service);
+    call->was_lightly_loaded =
+        SlUpstreamPace_IsLightlyLoaded(router, upstream);
     if (call->was_cold) {
         upstream->cold_sent_us = router->now_us;
     }
@@ -478,6 +484,7 @@
         upstream->reported_load = head->running + head->waiting;
         upstream->sent_since_report = 0;
     }
+    SlUpstreamPace_OnHead(router, upstream, head);
     if (head->cold_us >= 0) {
         if (head->cold_us > 0 && upstream->cold_until_us <= router->now_us) {
             SlLogLine_Begin(router, "upstream_cold");
@@ -546,6 +553,7 @@
                        struct sl_router_upstream *upstream)
 {
     upstream->is_replaced = true;
+    SlPace_Reset(upstream->pace);
     upstream->local_fault_us = router->now_us;
     router->loads_changed = true;
     SlEngineEnds_OnReplaced(router, upstream);
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -42,7 +42,8 @@
 //       and a further part of its own
 //   disconnect CONN         the client disconnects
 //   head CONN STATUS [stamp] [not-run] [wrong-instance] [confidence=]
-//     [leaving] [load=RUNNING,WAITING] [retry=] [invalid-retry]
+//     [leaving] [load=RUNNING,WAITING] [pace=PERCENT] [retry=]
+//     [invalid-retry]
 //       response head; stamp: it has the upstream's signature; wrong-instance:
 //       another upstream has this address; invalid-retry: the Retry-After
 //       field is invalid
@@ -51,6 +52,7 @@
 //       the newest call for that client ends; not-connected: no connection
 //       was established
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:IN_FLIGHT:BACKLOG_MS]
+//     [pace=ID:PERCENT:AGE_MS,..]
 //     [fault=ID[:replaced | :leaving:MS],..] [order=] [elapsed=] [base=]
 //     [suspect] [answers= bad= base-answers= base-bad=] [leaving] [store-age=]
 //     [known=] [relay=PLACE] [age=] [again] [boot=] [address=]
@@ -679,6 +681,7 @@
         head.retry_after_us = args.number("retry") * Sl_US_PER_MS;
         head.retry_after_is_invalid = args.has_word("invalid-retry");
         head.cold_us = -1;
+        head.pace_percent = args.number("pace");
         if (load.size() == 2) {
             head.has_load = true;
             head.running = std::stoll(load[0]);
@@ -752,6 +755,13 @@
             at.in_flight = (uint32_t)std::stoul(fields.at(1));
             at.backlog_ms = (uint32_t)std::stoul(fields.at(2));
         }
+        for (const std::string &pace : split(args.str("pace"))) {
+            std::vector<std::string> fields = split(pace, ':');
+            struct sl_gossip_pace &at = digest->paces[digest->pace_count++];
+            at.upstream = (uint32_t)SlHash_Bytes(0, view(fields.at(0)));
+            at.percent = (uint16_t)std::stoul(fields.at(1));
+            at.age_ms = (uint32_t)std::stoul(fields.at(2));
+        }
         for (const std::string &fault : split(args.str("fault"))) {
             std::vector<std::string> fields = split(fault, ':');
             struct sl_gossip_fault &at = digest->faults[digest->fault_count++];
