router: extra run time at slow upstreams of a plain service

Cause: the difference in run time between upstreams came from the mean run time, which counts the wait in the upstream's own queue: under load, a slow upstream seemed slower and slower, and its slots stayed free.

Change: the run time at lightly loaded upstreams, at the usual pace, counts with half its weight beside the queue there.

--- a/lib/router/sl_latency_estimate.c
+++ b/lib/router/sl_latency_estimate.c
@@ -102,6 +102,20 @@
     update_mean(router->mean_run_us, service, took_us);
 }
 
+int64_t
+SlLatency_LightRunUs(const struct sl_router *router,
+                     const struct sl_name *service)
+{
+    return mean_us_of(router->light_run_us, service, Sl_INITIAL_RUN_US);
+}
+
+void
+SlLatency_LearnLightRun(struct sl_router *router,
+                        const struct sl_name *service, int64_t took_us)
+{
+    update_mean(router->light_run_us, service, took_us);
+}
+
 int64_t
 SlLatency_RouteHeadUs(const struct sl_router *router,
                       const struct sl_name *route)
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -15,6 +15,10 @@
  * are all in use, over an idle one. It slows down as it fills: with less load,
  * the extra time is less in proportion. */
 #define Sl_FULL_LOAD_US (100 * Sl_US_PER_MS)
+/* Share of the extra run time at a slow upstream of a plain service that
+ * counts. With all of it, the slots there stay free until the others have long
+ * queues, and the service breaks down with less load. */
+#define Sl_PACE_RUN_SHARE 0.5
 /* Cost of each stream at an engine, which slows down all other streams there
  * from the first to the last event: the sum over a run. */
 #define Sl_STREAM_COST_US (60 * Sl_US_PER_MS)
@@ -170,9 +174,9 @@
     double pace = SlUpstreamPace_Factor(router, upstream);
     if (!request->service->is_engine) {
         int64_t extra_us = Sl_FULL_LOAD_US * load / slots_of(upstream);
-        int64_t run_us = SlLatency_MeanRunUs(router, &request->service->name);
+        int64_t run_us = SlLatency_LightRunUs(router, &request->service->name);
         return (int64_t)(pace * (double)extra_us +
-                         (pace - 1) * (double)run_us);
+                         Sl_PACE_RUN_SHARE * (pace - 1) * (double)run_us);
     }
     struct sl_name model = {0};
     (void)SlName_Set(&model, SlRoutedRequest_Model(request));
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -560,8 +560,9 @@
          request->state != Sl_ROUTED_REQUEST_RESPONDING)) {
         SlUpstreams_OnSuccess(router, request->upstream_call.upstream,
                               request->service->cold_start_us);
-        SlLatency_LearnRun(router, &request->service->name,
-                           router->now_us - request->upstream_call.sent_us);
+        int64_t took_us = router->now_us - request->upstream_call.sent_us;
+        SlLatency_LearnRun(router, &request->service->name, took_us);
+        SlUpstreamPace_LearnRun(router, request, took_us);
         note_begun(router, request, true);
         SlUpstreamCall_Detach(router, request);
         finish(router, request);
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -40,6 +40,8 @@
         SlName_TableHash, SlName_TableEqual, g_free, g_free);
     router->mean_run_us = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, g_free, g_free);
+    router->light_run_us = g_hash_table_new_full(
+        SlName_TableHash, SlName_TableEqual, g_free, g_free);
     router->mean_route_head_us = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, g_free, g_free);
     router->confidence_gains =
@@ -81,6 +83,7 @@
     g_hash_table_destroy(router->unserved_since_us);
     g_hash_table_destroy(router->confidence_gains);
     g_hash_table_destroy(router->mean_run_us);
+    g_hash_table_destroy(router->light_run_us);
     g_hash_table_destroy(router->mean_route_head_us);
     g_hash_table_destroy(router->latency_estimates);
     g_hash_table_destroy(router->upstreams_by_key);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -534,6 +534,8 @@
     GHashTable *latency_estimates;
     GHashTable
         *mean_run_us; /* service name -> double, mean run time in us, owned */
+    GHashTable *light_run_us; /* the same at lightly loaded upstreams, at the
+                                 usual pace */
     GHashTable *mean_route_head_us; /* route name -> double, mean us to a head,
                                        owned */
     /* "model model" -> struct sl_confidence_gain, owned. */
@@ -899,6 +901,10 @@
  * requests; a default if there was none yet. */
 int64_t SlLatency_MeanRunUs(const struct sl_router *router,
                             const struct sl_name *service);
+/* The same for a request that does not wait at its upstream, at the usual
+ * pace. */
+int64_t SlLatency_LightRunUs(const struct sl_router *router,
+                             const struct sl_name *service);
 /* Returns the moving average, in us, of the time to the head of a response on
  * a route of a service that is no engine; 0 if there was none yet. */
 int64_t SlLatency_RouteHeadUs(const struct sl_router *router,
@@ -908,6 +914,8 @@
                               const struct sl_name *route, int64_t took_us);
 void SlLatency_LearnRun(struct sl_router *router,
                         const struct sl_name *service, int64_t took_us);
+void SlLatency_LearnLightRun(struct sl_router *router,
+                             const struct sl_name *service, int64_t took_us);
 
 /* ---- pace of upstreams ---- */
 
@@ -928,6 +936,10 @@
 int64_t SlUpstreamPace_UsualUs(const struct sl_router *router,
                                const struct sl_upstream_call *call,
                                int64_t took_us);
+/* Updates the service's run time with a call that took `took_us`. */
+void SlUpstreamPace_LearnRun(struct sl_router *router,
+                             const struct sl_routed_request *request,
+                             int64_t took_us);
 /* Handles a successful call that took `took_us` until its head, and usually
  * would have taken `usual_us`, 0 if that is not known. */
 void SlUpstreamPace_OnMeasured(struct sl_router *router,
--- a/lib/router/sl_upstream_pace.c
+++ b/lib/router/sl_upstream_pace.c
@@ -65,6 +65,18 @@
     }
 }
 
+void
+SlUpstreamPace_LearnRun(struct sl_router *router,
+                        const struct sl_routed_request *request,
+                        int64_t took_us)
+{
+    const struct sl_upstream_call *call = &request->upstream_call;
+    if (call->was_lightly_loaded && !call->was_cold) {
+        SlLatency_LearnLightRun(router, &request->service->name,
+                                SlUpstreamPace_UsualUs(router, call, took_us));
+    }
+}
+
 /* ---- log and dump ---- */
 
 /* Returns an estimate in per cent. */
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -25,6 +25,9 @@
     int64_t after_us = 0;
     int status = 200;
     int confidence = -1;
+    int64_t pace_percent = 0; // stated in the head; 0: not
+    // Returns the load that the head states; none: it states none.
+    std::function<int64_t()> load;
     bool resets_connection = false; // instead of a response
     bool leaves = false;            // the response says that it leaves
     int64_t run_us = 0;             // from the head to the end
@@ -582,6 +585,11 @@
         head.status = response.status;
         head.is_stamped = true;
         head.confidence = response.confidence;
+        head.pace_percent = response.pace_percent;
+        if (response.load) {
+            head.has_load = true;
+            head.running = response.load();
+        }
         head.is_leaving = response.leaves;
         head.cold_us = -1;
         struct sl_router_event event =
