router: counts the memory of engines where the settings ask for it

Nothing read the word pressure in the settings' list of rules, and an upstream was full at twice its slots, whatever its prompts held. With that word, each engine has a room: placement leaves out engines without room for a request, a request above the memory of all engines is refused at once, and one that has waited for a quarter of its objective gets an engine that is kept free for it, which the digests tell as held. A restarted engine holds nothing. Without the word nothing changes.

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -57,7 +57,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value) &&
            digest->load_count < Sl_GOSSIP_MAX_LOADS) {
         const struct sl_router_upstream *upstream = value;
-        if (upstream->in_flight == 0) {
+        uint32_t held_tokens = SlEngineRooms_LocalTokens(upstream);
+        if (upstream->in_flight == 0 && held_tokens == 0) {
             continue;
         }
         struct sl_gossip_load *load = &digest->loads[digest->load_count++];
@@ -66,6 +67,7 @@
         load->backlog_ms =
             (uint32_t)(SlUpstreams_LocalPrefillBacklogUs(router, upstream) /
                        Sl_US_PER_MS);
+        load->held_tokens = held_tokens;
     }
 }
 
@@ -380,6 +382,7 @@
     SlFeeds_LogReaderChange(router);
     send_to_fleet(router);
     SlRollouts_OnDigestSent(router);
+    SlEngineRooms_OnDigestSent(router);
     SlTimers_Add(router->timers,
                  router->now_us + SlPeers_GossipIntervalUs(router),
                  on_gossip_due, router, 0);
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -414,6 +414,7 @@
         struct sl_router_upstream *upstream = value;
         upstream->peers_in_flight = 0;
         upstream->peers_prefill_backlog_us = 0;
+        SlEngineRooms_ClearPeers(upstream);
     }
     g_hash_table_iter_init(&iter, router->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -433,6 +434,7 @@
                 upstream->peers_in_flight += load->in_flight;
                 upstream->peers_prefill_backlog_us +=
                     MAX(prefill_backlog_us, 0);
+                SlEngineRooms_AddPeer(upstream, load->held_tokens);
             }
         }
     }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -219,6 +219,7 @@
         cost_us +=
             hashed_cost_us(Sl_AFFINITY_COST_US, request->session, upstream);
     }
+    cost_us += SlEngineRooms_SpreadCostUs(router, request, upstream);
     if (request->is_suspect) {
         cost_us +=
             hashed_cost_us(Sl_SUSPECT_SPREAD_US,
@@ -267,12 +268,21 @@
         }
         placement.serving_count++;
         int64_t earliest_us = earliest_send_us(router, request, upstream);
+        int64_t room_us = SlEngineRooms_WaitUs(router, request, upstream);
+        if (room_us > 0) {
+            SlEngineRooms_NoteFull(router, &placement, upstream, room_us);
+            earliest_us = room_us == Sl_NEVER_US
+                              ? Sl_NEVER_US
+                              : MAX(earliest_us, router->now_us + room_us);
+        }
         if (earliest_us > router->now_us) {
             placement.full_count++;
             backing_off_count +=
                 SlUpstreamNotices_IsBackingOff(router, upstream) ? 1 : 0;
-            placement.wait_us =
-                MIN(placement.wait_us, earliest_us - router->now_us);
+            if (earliest_us != Sl_NEVER_US) {
+                placement.wait_us =
+                    MIN(placement.wait_us, earliest_us - router->now_us);
+            }
             continue;
         }
         update_best(&placement, upstream,
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -56,6 +56,7 @@
     if (request->queue_link != NULL) {
         g_queue_delete_link(router->request_queue, request->queue_link);
         request->queue_link = NULL;
+        SlEngineRooms_OnLeft(router, request);
     }
 }
 
@@ -175,7 +176,9 @@
     const struct sl_router_refusal refusal = {
         .status = may_have_run ? 502 : 503,
         .step = "placement",
-        .reason = router->draining         ? "the router is shutting down"
+        .reason = router->draining ? "the router is shutting down"
+                  : placement->exceeds_memory
+                      ? "the request exceeds the memory of every upstream"
                   : wait_us == Sl_NEVER_US ? "no upstream can take the request"
                   : placement->all_backing_off
                       ? "the upstreams asked for back-off"
@@ -225,7 +228,8 @@
             SlRequestQueue_Remove(router, request);
             SlUpstreamCall_Send(router, request, &placement);
         }
-        else if (decide_refusal(router, request, placement.wait_us,
+        else if (placement.exceeds_memory ||
+                 decide_refusal(router, request, placement.wait_us,
                                 ahead_count)) {
             refuse(router, request, &placement);
         }
@@ -233,6 +237,7 @@
             if (request->queued_us == router->now_us) {
                 log_no_upstream(router, request, &placement, "queued");
             }
+            SlEngineRooms_OnWaiting(router, request, &placement);
             shortest_wait_us = MIN(shortest_wait_us, placement.wait_us);
             g_hash_table_insert(ahead_counts, key,
                                 GSIZE_TO_POINTER(ahead_count + 1));
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -83,6 +83,9 @@
     /* The whole fleet starts for the first time: waiting for other routers
      * does no harm. */
     bool is_first_start;
+    /* The tokens that requests hold at engines are counted as room, so that no
+     * engine ends for lack of memory. */
+    bool guards_memory;
     struct sl_bounds bounds;
     /* Largest sum of the response bytes that are held in memory; 0: no
      * bound. */
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -22,6 +22,7 @@
  * sl_request_queue.c     requests that wait for an upstream
  * sl_upstream_call.c     sends requests to upstreams
  * sl_placement.c         chooses the upstream for a request
+ * sl_engine_rooms.c      the memory of engines as room for requests
  * sl_rollouts.c          moves a service's traffic to a version
  * sl_rollout_sessions.c  which sessions a roll-out moves first
  * sl_rollout_status.c    writes the state of a roll-out to the store
@@ -46,6 +47,7 @@
 
 #include "sl_gossip.h"
 #include "sl_quarantine.h"
+#include "sl_room.h"
 #include "sl_router.h"
 #include "sl_stall_policy.h"
 
@@ -113,6 +115,7 @@
     int64_t prefill_started_us; /* when the first of those prefills began */
     int64_t peers_in_flight;    /* calls of the peers, by their digests */
     int64_t peers_prefill_backlog_us; /* prefill backlog of the peers */
+    struct sl_room *room;             /* in its memory; NULL: not counted */
     /* What its prefix cache is expected to hold: key -> struct
      * sl_cached_prefix_part, owned. */
     GHashTable *cached_prefix_parts;
@@ -345,6 +348,8 @@
     int64_t expected_us;   /* estimated time to its head, when it was sent */
     int64_t uncached_tokens; /* prompt tokens that the upstream is estimated
                                 not to have in its prefix cache */
+    int64_t held_tokens;     /* that it may come to hold in the upstream's
+                                memory; 0: not counted */
     bool is_prefilling;      /* its prompt counts in the prefill backlog */
     bool was_idle;   /* the upstream had no prefill backlog when it was sent */
     bool was_cold;   /* the upstream was cold when it was sent */
@@ -571,6 +576,7 @@
     GHashTable *health_checks; /* token -> id of the upstream, both owned */
     GArray *broken_calls;      /* struct sl_broken_call, oldest first */
     struct sl_quarantine *quarantine;
+    struct sl_engine_rooms *rooms; /* NULL: memory is not counted */
     bool has_local_evidence;    /* its announcement also goes to the leaders */
     uint64_t evidence_timer;    /* for the next digest about evidence */
     int64_t stall_check_due_us; /* next time to check a call for a stall */
@@ -1139,6 +1145,11 @@
     unsigned full_count;    /* those of them that cannot take it now */
     int64_t wait_us; /* estimated time until one of the full ones can take the
                         request; Sl_NEVER_US if there is none */
+    /* The engine with the least tokens held, of those without room in their
+     * memory at which it is this router's turn; NULL: none. */
+    struct sl_router_upstream *roomiest;
+    bool exceeds_memory;  /* the request is larger than the memory of all
+                             engines that may serve it */
     bool all_backing_off; /* all upstreams that may serve the request have
                              asked for back-off, so that `wait_us` is
                              certain */
@@ -1150,6 +1161,56 @@
 SlPlacement_Choose(struct sl_router *router,
                    const struct sl_routed_request *request);
 
+/* ---- memory of engines ---- */
+
+/* The memory of engines is room for requests, in tokens, if the options say
+ * that it is guarded. A long request that has waited for room gets an engine
+ * that is kept free for it. */
+
+struct sl_engine_rooms *SlEngineRooms_New(void);
+void SlEngineRooms_Free(struct sl_engine_rooms *rooms);
+/* Count a call that is sent to the upstream, or has ended there. */
+void SlEngineRooms_OnCallSent(struct sl_router_upstream *upstream,
+                              struct sl_routed_request *request);
+void SlEngineRooms_OnCallEnded(struct sl_router_upstream *upstream,
+                               struct sl_upstream_call *call);
+/* Handles that another process has taken the upstream's place: the calls to
+ * the former one hold nothing there. */
+void SlEngineRooms_OnReplaced(struct sl_router *router,
+                              struct sl_router_upstream *upstream);
+/* Handles that a digest was sent to the whole fleet. */
+void SlEngineRooms_OnDigestSent(struct sl_router *router);
+/* Returns what this router's calls hold in the upstream's memory, and what is
+ * kept free there; 0 if memory is not counted. */
+uint32_t SlEngineRooms_LocalTokens(const struct sl_router_upstream *upstream);
+/* Sum what the calls of the peers hold: from 0, peer by peer. */
+void SlEngineRooms_ClearPeers(struct sl_router_upstream *upstream);
+void SlEngineRooms_AddPeer(struct sl_router_upstream *upstream,
+                           int64_t tokens);
+/* Returns the estimated time in us until the upstream has room for the
+ * request: 0 if it has now, Sl_NEVER_US if the request exceeds its memory. */
+int64_t SlEngineRooms_WaitUs(struct sl_router *router,
+                             const struct sl_routed_request *request,
+                             const struct sl_router_upstream *upstream);
+/* Records in the placement that the upstream lacks room for `wait_us`. */
+void SlEngineRooms_NoteFull(const struct sl_router *router,
+                            struct sl_placement *placement,
+                            struct sl_router_upstream *upstream,
+                            int64_t wait_us);
+/* Returns a cost by which routers choose different engines for a request that
+ * is large for them. */
+int64_t SlEngineRooms_SpreadCostUs(const struct sl_router *router,
+                                   const struct sl_routed_request *request,
+                                   const struct sl_router_upstream *upstream);
+/* Handles that a request goes on waiting: if it has waited for room for long,
+ * keeps an engine free for it. */
+void SlEngineRooms_OnWaiting(struct sl_router *router,
+                             const struct sl_routed_request *request,
+                             const struct sl_placement *placement);
+/* Handles that a request has left the queue. */
+void SlEngineRooms_OnLeft(struct sl_router *router,
+                          const struct sl_routed_request *request);
+
 /* ---- startup queue ---- */
 
 /* Returns true while requests have to be held: the router has no
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -37,6 +37,7 @@
 {
     struct sl_router_upstream *upstream = data;
     g_hash_table_destroy(upstream->cached_prefix_parts);
+    SlRoom_Free(upstream->room);
     g_free(upstream);
 }
 
@@ -106,6 +107,7 @@
     upstream->cached_prefix_parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     upstream->key = (uint32_t)SlHash_Bytes(0, SlName_Str(&reg->id));
+    upstream->room = router->rooms != NULL ? SlRoom_New() : NULL;
     g_hash_table_insert(router->upstreams, &upstream->registration.id,
                         upstream);
     link_key(router, upstream);
@@ -147,6 +149,7 @@
     upstream->restarted_us = router->now_us;
     upstream->failures = 0;
     upstream->ejected_until_us = 0;
+    SlEngineRooms_OnReplaced(router, upstream);
     SlEngineEnds_OnReplaced(router, upstream);
     SlUpstreamNotices_OnUpstreamStart(router, upstream);
 }
@@ -422,6 +425,7 @@
         upstream->prefill_started_us = router->now_us;
     }
     upstream->prefill_backlog_us += call->expected_us;
+    SlEngineRooms_OnCallSent(upstream, request);
     note_cached_parts(router, upstream, request);
 }
 
@@ -454,6 +458,7 @@
     assert(upstream->in_flight > 0);
     SlUpstreams_OnPrefillDone(router, upstream, call);
     SlUpstreams_OnCallCleared(upstream, call);
+    SlEngineRooms_OnCallEnded(upstream, call);
     upstream->in_flight--;
     if (upstream->reported_load > 0) {
         upstream->reported_load--;
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -635,6 +635,7 @@
                               Sl_RESPONSE_MEMORY_DIVISOR,
         .seed_count = settings->seed_count,
         .is_first_start = settings->is_first_start,
+        .guards_memory = settings->guards_memory,
         .boot = random_number() | 1,
         .seed = random_number(),
         .now_us = monotonic_us(),
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -56,6 +56,27 @@
     return from.replace(position, what.size(), with);
 }
 
+// Returns whether memory is guarded with that list of rules.
+static bool
+guards_memory(const std::string &line)
+{
+    struct sl_platform_settings out;
+    struct sl_error err = {};
+    EXPECT_EQ(SlPlatform_ParseSettings(view(kSettings + line), &out, &err),
+              Sl_OK);
+    return out.guards_memory;
+}
+
+TEST(PlatformSettings, FindsTheRuleOnMemory)
+{
+    EXPECT_FALSE(guards_memory(""));
+    EXPECT_FALSE(guards_memory("Contracts=\n"));
+    EXPECT_FALSE(guards_memory("Contracts=base,pressures,under pressure\n"));
+    EXPECT_TRUE(guards_memory("Contracts=pressure\n"));
+    EXPECT_TRUE(guards_memory("Contracts=base,pressure,platform\n"));
+    EXPECT_TRUE(guards_memory("Contracts=base,pressure\r\n"));
+}
+
 TEST(PlatformSettings, ParsesEveryFieldType)
 {
     struct sl_platform_settings settings;
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -62,6 +62,7 @@
     int64_t digest_latency_us = 0;
     // VMs that a starting router contacts first.
     std::vector<std::string> seeds;
+    bool guards_memory = false; // option of the routers
 
     void
     start(size_t count, const struct sl_bounds &bounds)
@@ -71,6 +72,7 @@
             RouterSimulation &router = *routers.back();
             router.now_us = now_us;
             router.seeds = seeds;
+            router.guards_memory = guards_memory;
             router.on_effect = [this,
                                 i](const struct sl_router_effect &effect) {
                 take(i, effect);
@@ -667,7 +669,7 @@
 routing_record(const std::string &service, const std::string &prefix,
                int64_t max_attempts,
                const std::vector<std::string> &models = {},
-               double cold_requests_per_s = 0)
+               double cold_requests_per_s = 0, int64_t memory_tokens = 0)
 {
     struct sl_record record = {};
     struct sl_error err;
@@ -677,6 +679,7 @@
     added.name = SlName_Of(service.c_str());
     added.is_engine = !models.empty();
     added.slots = 64;
+    added.memory_tokens = memory_tokens;
     added.cold_requests_per_s = cold_requests_per_s;
     added.cold_start_us = 20 * Sl_US_PER_S;
     SlRouting_AddService(record.u.routing, &added, &err);
--- a/tests/unit/router_simulation.h
+++ b/tests/unit/router_simulation.h
@@ -143,6 +143,7 @@
     size_t max_buffered_bytes = 0;     // option of the router
     std::vector<std::string> seeds;    // VMs that the router contacts first
     bool is_first_start = false;       // option of the router
+    bool guards_memory = false;        // option of the router
     struct sl_router *router = nullptr;
     std::function<void(const struct sl_router_effect &)> on_effect;
 
@@ -172,6 +173,7 @@
         options.bounds = bounds;
         options.max_buffered_bytes = max_buffered_bytes;
         options.is_first_start = is_first_start;
+        options.guards_memory = guards_memory;
         for (const std::string &other : seeds) {
             options.seeds[options.seed_count++] =
                 SlName_Of((other + ":7340").c_str());
