router: no spread of long prompts over engines

The shares of the free room bound what routers send unseen; the extra cost that made them choose different engines is not needed for that: the tests of router_room hold without it.

--- a/lib/router/sl_engine_rooms.c
+++ b/lib/router/sl_engine_rooms.c
@@ -20,9 +20,6 @@
 #define Sl_RESERVATION_US (4 * Sl_US_PER_S)
 /* Age at which this router's place in the fleet is computed again. */
 #define Sl_PLACE_LIFETIME_US (500 * Sl_US_PER_MS)
-/* Largest cost by which routers choose different engines for a request of
- * which an engine cannot hold one from each router. */
-#define Sl_SPREAD_COST_US (100 * Sl_US_PER_MS)
 /* Least estimated time until an engine has room. */
 #define Sl_MIN_ROOM_WAIT_US Sl_US_PER_MS
 
@@ -269,25 +266,6 @@
     }
 }
 
-int64_t
-SlEngineRooms_SpreadCostUs(const struct sl_router *router,
-                           const struct sl_routed_request *request,
-                           const struct sl_router_upstream *upstream)
-{
-    const struct sl_engine_rooms *rooms = router->rooms;
-    if (rooms == NULL || !request->service->is_engine ||
-        request->service->memory_tokens <= 0 ||
-        demand_of(request) <= request->service->memory_tokens /
-                                  (int64_t)MAX(rooms->routers, 1)) {
-        return 0;
-    }
-    uint64_t hash = SlHash_Rendezvous(SlName_Str(&router->options.vm),
-                                      SlName_Str(&upstream->registration.id));
-    /* The hash as a fraction, 0 to 1. */
-    return (int64_t)((double)Sl_SPREAD_COST_US * (double)(hash >> 11) *
-                     0x1.0p-53);
-}
-
 /* ---- reservation ---- */
 
 static void
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -219,7 +219,6 @@
         cost_us +=
             hashed_cost_us(Sl_AFFINITY_COST_US, request->session, upstream);
     }
-    cost_us += SlEngineRooms_SpreadCostUs(router, request, upstream);
     if (request->is_suspect) {
         cost_us +=
             hashed_cost_us(Sl_SUSPECT_SPREAD_US,
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1197,11 +1197,6 @@
                             struct sl_placement *placement,
                             struct sl_router_upstream *upstream,
                             int64_t wait_us);
-/* Returns a cost by which routers choose different engines for a request that
- * is large for them. */
-int64_t SlEngineRooms_SpreadCostUs(const struct sl_router *router,
-                                   const struct sl_routed_request *request,
-                                   const struct sl_router_upstream *upstream);
 /* Handles that a request goes on waiting: if it has waited for room for long,
  * keeps an engine free for it. */
 void SlEngineRooms_OnWaiting(struct sl_router *router,
