net, router: back-pressure from slow clients to their upstreams

A client with more than 512 KB unsent was dropped, an upstream was read as fast as it sent, and a client that read slowly lost the rest of a complete response after the linger or idle time. Without the setting, nothing changes.

Tests: SlowReader and two of HttpClient in test_net, over loopback.

--- a/lib/backlog/sl_backlog.c
+++ b/lib/backlog/sl_backlog.c
@@ -165,6 +165,12 @@
     }
 }
 
+bool
+SlBacklog_HasChange(const struct sl_backlog *backlog)
+{
+    return backlog->changes->len > 0;
+}
+
 bool
 SlBacklog_NextChange(struct sl_backlog *backlog,
                      struct sl_backlog_change *change)
--- a/lib/backlog/sl_backlog.h
+++ b/lib/backlog/sl_backlog.h
@@ -67,6 +67,7 @@
     bool is_paused;
 };
 
+bool SlBacklog_HasChange(const struct sl_backlog *backlog);
 /* Returns true and sets `change` if there is another call to pause or to
  * resume; to be called until it returns false. */
 bool SlBacklog_NextChange(struct sl_backlog *backlog,
--- a/lib/net/sl_http_client.c
+++ b/lib/net/sl_http_client.c
@@ -37,6 +37,8 @@
     bool connected;
     bool reused;           /* has served an earlier call */
     bool message_complete; /* the reader is at the end of a message */
+    bool is_paused;        /* the response is not read for now */
+    short ended;           /* event of its end while it was paused; 0: none */
     bool keep_alive;       /* the peer keeps the connection open */
     int64_t max_idle_us;   /* from the peer's Keep-Alive header, or 0 */
 };
@@ -312,7 +314,8 @@
 read_input(struct sl_client_conn *conn)
 {
     struct evbuffer *in = bufferevent_get_input(conn->bev);
-    while (conn->call != NULL && evbuffer_get_length(in) > 0) {
+    while (conn->call != NULL && !conn->is_paused &&
+           evbuffer_get_length(in) > 0) {
         struct evbuffer_iovec chunk;
         bool ok = true;
         evbuffer_peek(in, -1, NULL, &chunk, 1);
@@ -333,6 +336,22 @@
     }
 }
 
+/* Ends the call of a connection that the peer has closed, or that failed. */
+static void
+on_conn_ended(struct sl_client_conn *conn, short what)
+{
+    conn->keep_alive = false;
+    if ((what & BEV_EVENT_EOF) != 0 &&
+        SlHttpReader_EndOfInput(&conn->reader) && !finish_message(conn)) {
+        return;
+    }
+    if (conn->call != NULL) {
+        fail_call(
+            conn->call, conn->connected ? Sl_ERR_LOST : Sl_ERR_UNREACHABLE,
+            conn->connected ? "the connection was closed" : "cannot connect");
+    }
+}
+
 static void
 on_read(struct bufferevent *bev, void *context)
 {
@@ -344,8 +363,14 @@
         close_conn(conn);
         return;
     }
+    if (conn->is_paused) {
+        return;
+    }
     set_timer(conn, conn->call->inactivity_timeout_us);
     read_input(conn);
+    if (conn->call != NULL && !conn->is_paused && conn->ended != 0) {
+        on_conn_ended(conn, conn->ended);
+    }
 }
 
 static void
@@ -370,16 +395,11 @@
         set_timer(conn, conn->call->inactivity_timeout_us);
         return;
     }
-    conn->keep_alive = false;
-    if ((what & BEV_EVENT_EOF) != 0 &&
-        SlHttpReader_EndOfInput(&conn->reader) && !finish_message(conn)) {
+    if (conn->is_paused) {
+        conn->ended = what; /* what has arrived is read first */
         return;
     }
-    if (conn->call != NULL) {
-        fail_call(
-            conn->call, conn->connected ? Sl_ERR_LOST : Sl_ERR_UNREACHABLE,
-            conn->connected ? "the connection was closed" : "cannot connect");
-    }
+    on_conn_ended(conn, what);
 }
 
 static void
@@ -543,6 +563,30 @@
     }
 }
 
+void
+SlHttpClient_Pause(struct sl_http_client *client, uint64_t id)
+{
+    struct sl_http_client_call *call = g_hash_table_lookup(client->calls, &id);
+    if (call != NULL && call->conn->connected) {
+        call->conn->is_paused = true;
+        bufferevent_disable(call->conn->bev, EV_READ);
+        set_timer(call->conn, 0);
+    }
+}
+
+void
+SlHttpClient_Resume(struct sl_http_client *client, uint64_t id)
+{
+    struct sl_http_client_call *call = g_hash_table_lookup(client->calls, &id);
+    if (call != NULL && call->conn->is_paused) {
+        call->conn->is_paused = false;
+        bufferevent_enable(call->conn->bev, EV_READ);
+        bufferevent_trigger(call->conn->bev, EV_READ,
+                            BEV_TRIG_DEFER_CALLBACKS |
+                                BEV_TRIG_IGNORE_WATERMARKS);
+    }
+}
+
 /* ---- public ---- */
 
 static void
--- a/lib/net/sl_http_server.c
+++ b/lib/net/sl_http_server.c
@@ -87,12 +87,36 @@
     conn->state_since_us = now_us();
 }
 
+static size_t
+unsent_bytes(const struct sl_server_conn *conn)
+{
+    return evbuffer_get_length(bufferevent_get_output(conn->bev));
+}
+
+/* Returns true while a request is being read. */
+static bool
+is_receiving(const struct sl_server_conn *conn)
+{
+    return conn->state == Sl_CONN_READING && conn->reader.started;
+}
+
+/* Reports what still waits for the client. */
+static void
+report_written(const struct sl_server_conn *conn, size_t unsent)
+{
+    const struct sl_http_server_options *options = &conn->server->options;
+    if (options->on_written != NULL) {
+        options->on_written(options->handlers.context, conn->id, unsent);
+    }
+}
+
 /* Closes and frees the connection. */
 static void
 close_conn(struct sl_server_conn *conn)
 {
     struct sl_http_server *server = conn->server;
     set_state(conn, Sl_CONN_CLOSING);
+    report_written(conn, 0);
     g_hash_table_remove(server->conns, &conn->id);
 }
 
@@ -306,12 +330,26 @@
     read_input(conn);
 }
 
+/* The output buffer has changed. */
+static void
+on_output_changed(struct evbuffer *output,
+                  const struct evbuffer_cb_info *change, void *context)
+{
+    if (change->n_deleted > 0) {
+        report_written(context, evbuffer_get_length(output));
+    }
+}
+
 /* All bytes of the output buffer were written. */
 static void
 on_write_drained(struct bufferevent *bev, void *context)
 {
     struct sl_server_conn *conn = context;
     (void)bev;
+    if (conn->server->options.on_written != NULL && !is_receiving(conn)) {
+        /* The time that the client took to read does not count. */
+        conn->state_since_us = now_us();
+    }
     if (conn->state == Sl_CONN_CLOSING) {
         (void)shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
     }
@@ -342,6 +380,10 @@
 {
     const struct sl_http_server_limits *limits = &conn->server->options.limits;
     int64_t age_us = current_us - conn->state_since_us;
+    if (conn->server->options.on_written != NULL && unsent_bytes(conn) > 0 &&
+        !is_receiving(conn)) {
+        return false; /* the client may be slow */
+    }
     switch (conn->state) {
     case Sl_CONN_READING:
         return age_us > (conn->reader.started ? limits->header_timeout_us
@@ -433,6 +475,10 @@
                                        BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(conn->bev, on_read, on_write_drained, on_event, conn);
     bufferevent_setwatermark(conn->bev, EV_READ, 0, Sl_READ_BUFFER_BYTES);
+    if (server->options.on_written != NULL) {
+        (void)evbuffer_add_cb(bufferevent_get_output(conn->bev),
+                              on_output_changed, conn);
+    }
     bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
     g_hash_table_insert(server->conns, &conn->id, conn);
 }
@@ -587,6 +633,23 @@
     }
 }
 
+size_t
+SlHttpServer_UnsentBytes(const struct sl_http_server *server, uint64_t id)
+{
+    const struct sl_server_conn *conn = find_conn(server, id);
+    return conn == NULL ? 0 : unsent_bytes(conn);
+}
+
+void
+SlHttpServer_Disconnect(struct sl_http_server *server, uint64_t id)
+{
+    struct sl_server_conn *conn = find_conn(server, id);
+    if (conn != NULL) {
+        bufferevent_trigger_event(conn->bev, BEV_EVENT_ERROR,
+                                  BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
 void
 SlHttpServer_Drain(struct sl_http_server *server)
 {
--- a/lib/net/sl_net.h
+++ b/lib/net/sl_net.h
@@ -97,6 +97,12 @@
     struct sl_name address;  /* "IP:PORT" */
     struct sl_http_server_handlers handlers;
     struct sl_http_server_limits limits;
+    /* If not NULL: the client has taken bytes, so that `unsent_bytes` still
+     * wait for it; also called, with 0, when a connection is closed. `context`
+     * is that of `handlers`. Connections with unsent bytes do not time out
+     * then: the user disconnects clients that take none. Must not call the
+     * server. */
+    void (*on_written)(void *context, uint64_t conn, size_t unsent_bytes);
 };
 
 /* Listens on the address. Returns NULL and fills `err` with Sl_ERR_INVALID if
@@ -132,6 +138,11 @@
 /* Closes the connection without completing the response, so that the client
  * can tell that a response which was begun is incomplete. */
 void SlHttpServer_AbortReply(struct sl_http_server *server, uint64_t conn);
+/* Returns the number of bytes that wait for the client to read them. */
+size_t SlHttpServer_UnsentBytes(const struct sl_http_server *server,
+                                uint64_t conn);
+/* Closes the connection soon, as if the client had disconnected. */
+void SlHttpServer_Disconnect(struct sl_http_server *server, uint64_t conn);
 /* From now on sends "Connection: close" with each response, and closes the
  * connection after the response. */
 void SlHttpServer_Drain(struct sl_http_server *server);
@@ -216,6 +227,12 @@
  * before this function returns: all errors are reported by `on_done`. */
 uint64_t SlHttpClient_Call(struct sl_http_client *client,
                            const struct sl_http_client_call_options *options);
+/* Stop and go on to read the call's response. Bytes that the peer sends
+ * meanwhile fill its connection, so that it has to wait; the time without
+ * received bytes does not count. Unknown handles are ignored. May be called by
+ * the call's handlers. */
+void SlHttpClient_Pause(struct sl_http_client *client, uint64_t call);
+void SlHttpClient_Resume(struct sl_http_client *client, uint64_t call);
 /* Returns true if calls can be sent to the address: it is "IP:PORT" with an
  * IPv4 address. */
 bool SlHttpClient_IsAddress(struct sl_str address);
--- a/lib/router/sl_dump.c
+++ b/lib/router/sl_dump.c
@@ -83,6 +83,9 @@
         add_int(out, "peers_in_flight", upstream->peers_in_flight);
         add_int(out, "unread_ms",
                 SlUpstreams_PrefillBacklogUs(router, upstream) / Sl_US_PER_MS);
+        if (upstream->room != NULL) {
+            add_int(out, "held_tokens", SlRoom_HeldTokens(upstream->room));
+        }
         add_int(out, "heard_ms",
                 (router->now_us - upstream->registration_read_us) /
                     Sl_US_PER_MS);
--- a/lib/router/sl_engine_rooms.c
+++ b/lib/router/sl_engine_rooms.c
@@ -333,3 +333,43 @@
         release(router);
     }
 }
+
+/* ---- metrics ---- */
+
+void
+SlEngineRooms_SetMetrics(struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    const struct sl_name mean = SlName_Of("mean");
+    const struct sl_name largest = SlName_Of("largest");
+    for (size_t i = 0; router->rooms != NULL && router->routing != NULL &&
+                       i < SlRouting_ServiceCount(router->routing);
+         i++) {
+        const struct sl_route_service *service =
+            SlRouting_Service(router->routing, i);
+        double sum = 0;
+        double most = 0;
+        int64_t engines = 0;
+        if (!service->is_engine) {
+            continue;
+        }
+        SlPeers_SumLoads(router);
+        g_hash_table_iter_init(&iter, router->upstreams);
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
+            const struct sl_router_upstream *upstream = value;
+            if (SlName_Equal(&upstream->registration.service,
+                             &service->name)) {
+                double held = (double)SlRoom_HeldTokens(upstream->room);
+                sum += held;
+                most = MAX(most, held);
+                engines++;
+            }
+        }
+        SlMetrics_Set(router->metrics, Sl_ROUTER_METRIC_ENGINE_TOKENS,
+                      &service->name, &mean,
+                      engines > 0 ? sum / (double)engines : 0);
+        SlMetrics_Set(router->metrics, Sl_ROUTER_METRIC_ENGINE_TOKENS,
+                      &service->name, &largest, most);
+    }
+}
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -313,6 +313,7 @@
         struct sl_router_effect *send =
             SlRouter_AddEffect(router, Sl_ROUTER_EFFECT_REPLY_CHUNK);
         send->u.chunk.conn = request->conn;
+        send->u.chunk.token = call->token;
         send->u.chunk.bytes = event;
         if (id.len > 0) {
             set_last_event(router, request, id);
@@ -411,6 +412,23 @@
     }
 }
 
+void
+SlResponses_OnPaused(struct sl_router *router, uint64_t token, bool is_paused)
+{
+    struct sl_routed_request *request = request_of(router, token);
+    if (request == NULL) {
+        return;
+    }
+    request->upstream_call.is_paused = is_paused;
+    note_progress(router, &request->upstream_call);
+    SlLogLine_BeginFor(router, is_paused ? "client_slow" : "client_caught_up",
+                       request);
+    SlLogLine_Name(router, "upstream",
+                   &request->upstream_call.upstream->registration.id);
+    SlLogLine_EventId(router, "last_event", SlBuf_Str(&request->last_event));
+    SlLogLine_End(router, Sl_LOG_INFO);
+}
+
 /* Ends the request with the response of its last call, which is complete: ends
  * the stream, or sends the buffered response. */
 static void
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -253,6 +253,10 @@
         SlResponses_OnDone(router, event->u.response.token, event->err,
                            event->u.response.connected);
         break;
+    case Sl_ROUTER_EVENT_RESPONSE_PAUSED:
+        SlResponses_OnPaused(router, event->u.response.token,
+                             event->u.response.is_paused);
+        break;
     case Sl_ROUTER_EVENT_HEALTH_CHECKED:
         SlStallMonitor_OnHealthChecked(router, event->u.health_check.token,
                                        event->u.health_check.is_reached);
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -260,6 +260,9 @@
     Sl_ROUTER_EVENT_RESPONSE_CHUNK, /* u.response: next bytes of its body */
     Sl_ROUTER_EVENT_RESPONSE_DONE,  /* u.response: a call has ended; `err` is
                                        NULL if its response is complete */
+    /* u.response: the call's response is read no further, or again, as its
+     * client reads slowly */
+    Sl_ROUTER_EVENT_RESPONSE_PAUSED,
     Sl_ROUTER_EVENT_HEALTH_CHECKED, /* u.health_check: a check has ended */
     Sl_ROUTER_EVENT_FEED_READ,      /* u.feed: result of a read, or `err` */
     Sl_ROUTER_EVENT_APPENDED,  /* u.appended: result of an append, or `err` */
@@ -283,6 +286,7 @@
             const struct sl_response_head *head; /* HEAD */
             struct sl_str bytes;                 /* CHUNK */
             bool connected; /* DONE: if false, nothing was sent */
+            bool is_paused; /* PAUSED */
         } response;
         struct {
             uint64_t token;
@@ -416,6 +420,7 @@
         struct sl_router_effect_reply reply;
         struct {
             uint64_t conn;
+            uint64_t token; /* of the call that the bytes are from */
             struct sl_str bytes;
         } chunk;
         uint64_t conn;
@@ -482,6 +487,17 @@
 const struct sl_metric_def *SlRouter_Metrics(size_t *count);
 /* Appends the metrics in the Prometheus text format. */
 void SlRouter_MetricsText(struct sl_router *router, struct sl_buf *out);
+/* Bytes that wait for slow clients, streams whose upstream is not read for
+ * that reason, and clients that took nothing for too long, in all. */
+struct sl_router_readers {
+    size_t held_bytes;
+    size_t paused;
+    uint64_t stalled;
+};
+
+/* Sets the metrics on clients that read slowly. */
+void SlRouter_SetReaders(struct sl_router *router,
+                         const struct sl_router_readers *readers);
 /* Adds to the count of log lines that the runtime has left out: "sampled"
  * ones, or those that came while its buffer was "full". */
 void SlRouter_CountOmittedLogLines(struct sl_router *router,
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -356,6 +356,7 @@
     bool is_suspect; /* its request is a suspect, and it has not begun */
     bool at_baseline; /* at a version that a roll-out replaces */
     bool has_head;    /* its response has begun */
+    bool is_paused;   /* its response is not read, as the client is slow */
     bool has_event;   /* its response, a stream, has sent an event */
     int64_t head_us;  /* when its response began */
     /* Its response has gone on for a while after its head, or is complete: the
@@ -629,6 +630,10 @@
     Sl_ROUTER_METRIC_STORE_AGE,
     Sl_ROUTER_METRIC_READY,
     Sl_ROUTER_METRIC_LOG_DROPPED,
+    Sl_ROUTER_METRIC_ENGINE_TOKENS,
+    Sl_ROUTER_METRIC_READERS_BYTES,
+    Sl_ROUTER_METRIC_READERS_PAUSED,
+    Sl_ROUTER_METRIC_READERS_STALLED,
     Sl_ROUTER_METRIC_COUNT,
 };
 
@@ -1202,6 +1207,8 @@
 void SlEngineRooms_OnWaiting(struct sl_router *router,
                              const struct sl_routed_request *request,
                              const struct sl_placement *placement);
+/* Sets the metrics on the memory of engines. */
+void SlEngineRooms_SetMetrics(struct sl_router *router);
 /* Handles that a request has left the queue. */
 void SlEngineRooms_OnLeft(struct sl_router *router,
                           const struct sl_routed_request *request);
@@ -1391,6 +1398,10 @@
                         const struct sl_response_head *head);
 void SlResponses_OnChunk(struct sl_router *router, uint64_t token,
                          struct sl_str bytes);
+/* Handles that the response is read no further, or again, as its client reads
+ * slowly: the call does not count as stalled meanwhile. */
+void SlResponses_OnPaused(struct sl_router *router, uint64_t token,
+                          bool is_paused);
 /* `err` is NULL if the response is complete. `connected` is false if the
  * upstream could not be reached, so that nothing was sent. */
 void SlResponses_OnDone(struct sl_router *router, uint64_t token,
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -212,6 +212,31 @@
          "full.",
          {"reason"},
          NULL},
+    [Sl_ROUTER_METRIC_ENGINE_TOKENS] =
+        {"sassafrasledge_engine_tokens_held",
+         Sl_METRIC_GAUGE,
+         "Tokens that requests of all routers may hold at an engine; of the "
+         "service's engines: mean, largest.",
+         {"service", "of"},
+         NULL},
+    [Sl_ROUTER_METRIC_READERS_BYTES] =
+        {"sassafrasledge_client_unread_bytes",
+         Sl_METRIC_GAUGE,
+         "Bytes of responses that wait for clients to read them.",
+         {NULL},
+         NULL},
+    [Sl_ROUTER_METRIC_READERS_PAUSED] =
+        {"sassafrasledge_streams_paused",
+         Sl_METRIC_GAUGE,
+         "Streams whose upstream is not read, as the client reads slowly.",
+         {NULL},
+         NULL},
+    [Sl_ROUTER_METRIC_READERS_STALLED] =
+        {"sassafrasledge_clients_stalled",
+         Sl_METRIC_GAUGE,
+         "Clients cut off since the start as they read nothing.",
+         {NULL},
+         NULL},
 };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(defs) == Sl_ROUTER_METRIC_COUNT);
@@ -457,9 +482,22 @@
     set_gauge(router, Sl_ROUTER_METRIC_READY,
               SlRouter_IsReady(router) ? 1 : 0);
     set_upstreams(router);
+    SlEngineRooms_SetMetrics(router);
     SlMetrics_AppendText(router->metrics, out);
 }
 
+void
+SlRouter_SetReaders(struct sl_router *router,
+                    const struct sl_router_readers *readers)
+{
+    set_gauge(router, Sl_ROUTER_METRIC_READERS_BYTES,
+              (double)readers->held_bytes);
+    set_gauge(router, Sl_ROUTER_METRIC_READERS_PAUSED,
+              (double)readers->paused);
+    set_gauge(router, Sl_ROUTER_METRIC_READERS_STALLED,
+              (double)readers->stalled);
+}
+
 void
 SlRouter_CountOmittedLogLines(struct sl_router *router, const char *reason,
                               uint64_t lines)
--- a/lib/router/sl_stall_monitor.c
+++ b/lib/router/sl_stall_monitor.c
@@ -170,7 +170,7 @@
     const struct sl_upstream_call *call = &request->upstream_call;
     const struct sl_router_upstream *upstream = call->upstream;
     return (struct sl_stall_state){
-        .silent_us = router->now_us - call->progress_us,
+        .silent_us = call->is_paused ? 0 : router->now_us - call->progress_us,
         .has_head = call->has_head,
         .is_engine = request->service->is_engine,
         .others_progress_us =
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -68,6 +68,7 @@
     call->progress_us = router->now_us;
     call->next_check_us = 0; /* SlStallMonitor_Watch() sets it */
     call->has_head = false;
+    call->is_paused = false;
     call->has_event = false;
     call->has_begun = false;
     SlBuf_Clear(&call->headers);
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -219,9 +219,11 @@
 static void
 on_client_disconnected(void *context, uint64_t conn)
 {
+    struct sl_router_runtime *runtime = context;
     struct sl_router_event event = {.type = Sl_ROUTER_EVENT_CLIENT_GONE};
+    SlRouterReaders_OnClosed(runtime->readers, conn);
     event.u.conn = conn;
-    SlRouterRuntime_Dispatch(context, &event);
+    SlRouterRuntime_Dispatch(runtime, &event);
 }
 
 /* Adds the log lines that were left out since the last call to the metrics. */
@@ -266,6 +268,7 @@
     (void)body;
     if (SlStr_Equal(head->target, Sl_STR("/metrics"))) {
         count_omitted_lines(runtime);
+        SlRouterReaders_SetMetrics(runtime->readers);
         SlRouter_MetricsText(runtime->router, &text);
     }
     else if (SlStr_Equal(head->target, Sl_STR("/state"))) {
@@ -327,7 +330,8 @@
         .header_timeout_us = limits->header_timeout_us,
         .idle_timeout_us = limits->idle_timeout_us,
         .max_connections = (size_t)MAX(available_fds / 2, 16),
-        .max_unsent_bytes = Sl_MAX_UNSENT_BYTES,
+        .max_unsent_bytes =
+            runtime->readers != NULL ? SIZE_MAX : Sl_MAX_UNSENT_BYTES,
     };
     return server_limits;
 }
@@ -412,6 +416,20 @@
     }
 }
 
+void
+SlRouterRuntime_PauseCall(struct sl_router_runtime *runtime, uint64_t token,
+                          bool is_paused)
+{
+    const struct sl_router_call *call =
+        g_hash_table_lookup(runtime->calls, &token);
+    if (call != NULL && is_paused) {
+        SlHttpClient_Pause(runtime->client, call->handle);
+    }
+    else if (call != NULL) {
+        SlHttpClient_Resume(runtime->client, call->handle);
+    }
+}
+
 /* ---- health checks ---- */
 
 static void
@@ -543,6 +561,7 @@
                                effect->u.reply.status, effect->u.reply.headers,
                                effect->u.reply.body);
         }
+        SlRouterReaders_OnSent(runtime->readers, effect->u.reply.conn, 0);
         break;
     case Sl_ROUTER_EFFECT_REPLY_BEGIN:
         SlHttpServer_BeginReply(runtime->frontend, effect->u.reply.conn,
@@ -552,12 +571,16 @@
     case Sl_ROUTER_EFFECT_REPLY_CHUNK:
         SlHttpServer_SendChunk(runtime->frontend, effect->u.chunk.conn,
                                effect->u.chunk.bytes);
+        SlRouterReaders_OnSent(runtime->readers, effect->u.chunk.conn,
+                               effect->u.chunk.token);
         break;
     case Sl_ROUTER_EFFECT_REPLY_END:
         SlHttpServer_EndReply(runtime->frontend, effect->u.conn);
+        SlRouterReaders_OnSent(runtime->readers, effect->u.conn, 0);
         break;
     case Sl_ROUTER_EFFECT_REPLY_ABORT:
         SlHttpServer_AbortReply(runtime->frontend, effect->u.conn);
+        SlRouterReaders_OnSent(runtime->readers, effect->u.conn, 0);
         break;
     case Sl_ROUTER_EFFECT_CLIENT_LIMITS: {
         struct sl_http_server_limits limits =
@@ -679,6 +702,8 @@
         .address = runtime->settings.client_listen,
         .handlers = {on_request, on_client_disconnected, runtime},
         .limits = client_limits(runtime, SlRouting_Limits(default_routing)),
+        .on_written =
+            runtime->readers != NULL ? SlRouterReaders_OnWritten : NULL,
     };
     struct sl_http_server_options ready_server = {
         .base = runtime->base,
@@ -722,6 +747,9 @@
     };
     runtime->store = SlStore_New(&store);
     start_router(runtime);
+    if (runtime->settings.guards_memory) {
+        runtime->readers = SlRouterReaders_New(runtime);
+    }
     runtime->peers = SlRouterPeerTransport_New(runtime, err);
     return runtime->peers != NULL && start_servers(runtime, err);
 }
@@ -733,6 +761,7 @@
     SlHttpServer_Free(runtime->metrics_server);
     SlHttpServer_Free(runtime->ready_server);
     SlHttpServer_Free(runtime->frontend);
+    SlRouterReaders_Free(runtime->readers);
     SlStore_Free(runtime->store);
     SlHttpClient_Free(runtime->client);
     SlRouterEffects_Free(runtime->effects);
--- a/programs/sassafrasd_router_internal.h
+++ b/programs/sassafrasd_router_internal.h
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 
 struct sl_router_peer_transport;
+struct sl_router_reader_watch;
 
 struct sl_router_runtime {
     struct sl_platform_settings settings;
@@ -30,6 +31,7 @@
     struct event *timer;       /* earliest due time of the reducer */
     struct event *flush_timer; /* flushes the log sink */
     struct sl_router_peer_transport *peers;
+    struct sl_router_reader_watch *readers; /* NULL: memory is not guarded */
     /* Calls and health checks of upstreams: token -> struct
      * sl_router_call, owned. */
     GHashTable *calls;
@@ -55,6 +57,28 @@
 void SlRouterRuntime_Log(struct sl_router_runtime *runtime,
                          enum sl_log_level level, struct sl_str fields);
 
+/* Stops to read the response of the call, or goes on. */
+void SlRouterRuntime_PauseCall(struct sl_router_runtime *runtime,
+                               uint64_t token, bool is_paused);
+
+/* ---- slow clients: sassafrasd_router_readers.c ---- */
+
+struct sl_router_reader_watch *
+SlRouterReaders_New(struct sl_router_runtime *runtime);
+/* Frees the watch; like the functions below, it allows NULL. */
+void SlRouterReaders_Free(struct sl_router_reader_watch *watch);
+/* Bytes were sent to the client, from the call with that token; 0: the
+ * response is complete. */
+void SlRouterReaders_OnSent(struct sl_router_reader_watch *watch,
+                            uint64_t conn, uint64_t token);
+/* Handler of the server for clients, `on_written`; `context` is the runtime,
+ * whose watch is not NULL. */
+void SlRouterReaders_OnWritten(void *context, uint64_t conn,
+                               size_t unsent_bytes);
+void SlRouterReaders_OnClosed(struct sl_router_reader_watch *watch,
+                              uint64_t conn);
+void SlRouterReaders_SetMetrics(const struct sl_router_reader_watch *watch);
+
 /* ---- peers: sassafrasd_router_peers.c ---- */
 
 /* Listens on the first internal port, for datagrams and for connections.
--- a/tests/unit/net_test.cc
+++ b/tests/unit/net_test.cc
@@ -90,6 +90,11 @@
     struct sl_http_server *server = nullptr;
     int fd = -1; // the client's socket
 
+    virtual void
+    configure(struct sl_http_server_options *)
+    {
+    }
+
     void
     SetUp() override
     {
@@ -104,6 +109,7 @@
         options.limits.idle_timeout_us = 5 * Sl_US_PER_S;
         options.limits.max_connections = 10;
         options.limits.max_unsent_bytes = 65536;
+        configure(&options);
         server = SlHttpServer_New(&options, &err);
         ASSERT_NE(server, nullptr) << err.text;
         fd = connect_to(address);
@@ -315,6 +321,85 @@
     EXPECT_TRUE(requests.empty());
 }
 
+// The server reports what clients take, so that its user can tell slow ones
+// from those that have stalled.
+class SlowReader : public HttpServer {
+  protected:
+    std::vector<size_t> unsent; // passed to on_written()
+
+    void
+    configure(struct sl_http_server_options *options) override
+    {
+        options->limits.idle_timeout_us = Sl_US_PER_S;
+        options->limits.max_unsent_bytes = SIZE_MAX;
+        options->on_written = [](void *context, uint64_t, size_t bytes) {
+            static_cast<SlowReader *>(context)->unsent.push_back(bytes);
+        };
+    }
+
+    // Lets time pass while the loop runs.
+    void
+    run_for(int64_t us)
+    {
+        int64_t until_us = g_get_monotonic_time() + us;
+        run_until([&] { return g_get_monotonic_time() >= until_us; });
+    }
+
+    // Sends a response that fills the kernel's buffers.
+    void
+    respond(bool keep_alive)
+    {
+        const std::string body(8 << 20, 'x');
+        send_request(keep_alive
+                         ? "GET /a HTTP/1.1\r\n\r\n"
+                         : "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+        wait_for_requests(1);
+        SlHttpServer_BeginReply(server, requests[0].conn, 200, Sl_STR(""));
+        SlHttpServer_SendChunk(server, requests[0].conn,
+                               {body.data(), body.size()});
+    }
+};
+
+TEST_F(SlowReader, GetsTheWholeResponseThoughItTakesLong)
+{
+    for (bool keep_alive : {false, true}) {
+        respond(keep_alive);
+        SlHttpServer_EndReply(server, requests[0].conn);
+        run_for(2500 * Sl_US_PER_MS); // beyond the limits of idle connections
+        size_t waiting = SlHttpServer_UnsentBytes(server, requests[0].conn);
+        EXPECT_GT(waiting, 0u);
+        unsent.clear();
+        std::string tail;
+        run_until([&] {
+            std::vector<char> block(1 << 20);
+            ssize_t n = recv(fd, block.data(), block.size(), MSG_DONTWAIT);
+            if (n > 0) {
+                tail = (tail + std::string(block.data(), (size_t)n));
+                tail.erase(0, tail.size() - std::min(tail.size(), (size_t)8));
+            }
+            return tail == "x\r\n0\r\n\r\n";
+        });
+        ASSERT_FALSE(unsent.empty());
+        EXPECT_LT(unsent.front(), waiting);
+        EXPECT_EQ(unsent.back(), 0u);
+        SlHttpServer_Free(server);
+        close(fd);
+        requests.clear();
+        address = free_address();
+        SetUp();
+    }
+}
+
+TEST_F(SlowReader, IsDisconnectedOnDemand)
+{
+    respond(true);
+    run_for(10 * Sl_US_PER_MS);
+    SlHttpServer_Disconnect(server, requests[0].conn);
+    run_until([&] { return disconnected.size() == 1; });
+    EXPECT_EQ(unsent.back(), 0u);
+    EXPECT_EQ(SlHttpServer_UnsentBytes(server, requests[0].conn), 0u);
+}
+
 /* ---- client ---- */
 
 // The client under test, and an upstream that consists of a listening socket
@@ -746,3 +831,55 @@
     EXPECT_EQ(first.status, 200);
     EXPECT_EQ(first.body, "ok");
 }
+
+// An upstream has to wait while the response is not read, and is not told from
+// one that stalls: no handler runs.
+TEST_F(HttpClient, PausedCallMakesTheUpstreamWait)
+{
+    call_record record;
+    uint64_t id = call(&record);
+    int fd = accept_request();
+    respond(fd, "HTTP/1.1 200 OK\r\nContent-Length: 16777216\r\n\r\nx");
+    run_until([&] { return record.body.size() == 1; });
+    SlHttpClient_Pause(client, id);
+    const std::string block(65536, 'x');
+    size_t sent = 1;
+    int64_t until_us = g_get_monotonic_time() + 300 * Sl_US_PER_MS;
+    run_until([&] {
+        ssize_t n = send(fd, block.data(), block.size(), MSG_DONTWAIT);
+        sent += n > 0 ? (size_t)n : 0;
+        return g_get_monotonic_time() >= until_us;
+    });
+    EXPECT_LT(sent, (size_t)16 << 20); // the connection is full
+    EXPECT_EQ(record.body.size(), 1u);
+    SlHttpClient_Resume(client, id);
+    run_until([&] {
+        size_t left = ((size_t)16 << 20) - sent;
+        ssize_t n =
+            send(fd, block.data(), std::min(block.size(), left), MSG_DONTWAIT);
+        sent += n > 0 ? (size_t)n : 0;
+        return record.done;
+    });
+    EXPECT_FALSE(record.failed);
+    EXPECT_EQ(record.body.size(), (size_t)16 << 20);
+}
+
+// What an upstream had sent before it cut the connection is still read.
+TEST_F(HttpClient, ReadsWhatArrivedBeforeTheEndOfAPausedCall)
+{
+    call_record record;
+    uint64_t id = call(&record);
+    int fd = accept_request();
+    respond(fd, "HTTP/1.1 200 OK\r\n\r\nab");
+    run_until([&] { return record.body.size() == 2; });
+    SlHttpClient_Pause(client, id);
+    respond(fd, "cd");
+    shutdown(fd, SHUT_WR);
+    int64_t until_us = g_get_monotonic_time() + 50 * Sl_US_PER_MS;
+    run_until([&] { return g_get_monotonic_time() >= until_us; });
+    EXPECT_EQ(record.body, "ab");
+    SlHttpClient_Resume(client, id);
+    run_until([&] { return record.done; });
+    EXPECT_EQ(record.body, "abcd");
+    EXPECT_FALSE(record.failed);
+}
