--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -63,6 +63,7 @@
     router->broken_calls =
         g_array_new(FALSE, FALSE, sizeof(struct sl_broken_call));
     router->quarantine = SlQuarantine_New();
+    router->rooms = options->guards_memory ? SlEngineRooms_New() : NULL;
     router->deferred_frees = g_ptr_array_new_with_free_func(free_request);
     return router;
 }
@@ -90,6 +91,7 @@
     g_hash_table_destroy(router->health_checks);
     g_array_free(router->broken_calls, TRUE);
     SlQuarantine_Free(router->quarantine);
+    SlEngineRooms_Free(router->rooms);
     g_hash_table_destroy(router->requests_by_token);
     g_hash_table_destroy(router->routed_requests);
     g_ptr_array_free(router->deferred_frees, TRUE);
@@ -255,6 +257,10 @@
         SlResponses_OnDone(router, event->u.response.token, event->err,
                            event->u.response.connected);
         break;
+    case Sl_ROUTER_EVENT_RESPONSE_PAUSED:
+        SlResponses_OnPaused(router, event->u.response.token,
+                             event->u.response.is_paused);
+        break;
     case Sl_ROUTER_EVENT_HEALTH_CHECKED:
         SlStallMonitor_OnHealthChecked(router, event->u.health_check.token,
                                        event->u.health_check.is_reached);
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -83,6 +83,9 @@
     /* The whole fleet starts for the first time: waiting for other routers
      * does no harm. */
     bool is_first_start;
+    /* The tokens that requests hold at engines are counted as room, so that no
+     * engine ends for lack of memory. */
+    bool guards_memory;
     struct sl_bounds bounds;
     /* Largest sum of the response bytes that are held in memory; 0: no
      * bound. */
@@ -259,6 +262,9 @@
     Sl_ROUTER_EVENT_RESPONSE_CHUNK, /* u.response: next bytes of its body */
     Sl_ROUTER_EVENT_RESPONSE_DONE,  /* u.response: a call has ended; `err` is
                                        NULL if its response is complete */
+    /* u.response: the call's response is read no further, or again, as its
+     * client reads slowly */
+    Sl_ROUTER_EVENT_RESPONSE_PAUSED,
     Sl_ROUTER_EVENT_HEALTH_CHECKED, /* u.health_check: a check has ended */
     Sl_ROUTER_EVENT_FEED_READ,      /* u.feed: result of a read, or `err` */
     Sl_ROUTER_EVENT_APPENDED,  /* u.appended: result of an append, or `err` */
@@ -282,6 +288,7 @@
             const struct sl_response_head *head; /* HEAD */
             struct sl_str bytes;                 /* CHUNK */
             bool connected; /* DONE: if false, nothing was sent */
+            bool is_paused; /* PAUSED */
         } response;
         struct {
             uint64_t token;
@@ -416,6 +423,7 @@
         struct sl_router_effect_reply reply;
         struct {
             uint64_t conn;
+            uint64_t token; /* of the call that the bytes are from */
             struct sl_str bytes;
         } chunk;
         uint64_t conn;
@@ -483,6 +491,17 @@
 const struct sl_metric_def *SlRouter_Metrics(size_t *count);
 /* Appends the metrics in the Prometheus text format. */
 void SlRouter_MetricsText(struct sl_router *router, struct sl_buf *out);
+/* Bytes that wait for slow clients, streams whose upstream is not read for
+ * that reason, and clients that took nothing for too long, in all. */
+struct sl_router_readers {
+    size_t held_bytes;
+    size_t paused;
+    uint64_t stalled;
+};
+
+/* Sets the metrics on clients that read slowly. */
+void SlRouter_SetReaders(struct sl_router *router,
+                         const struct sl_router_readers *readers);
 /* Adds to the count of log lines that the runtime has left out: "sampled"
  * ones, or those that came while its buffer was "full". */
 void SlRouter_CountOmittedLogLines(struct sl_router *router,
