pace: peers hear figures, not means; measured times count in the mean only

Cause: on a deployment whose upstreams state no pace, half of the placements at the plain service had a learned pace up to 2.8, though its three upstreams are equal. Routers reported a measured pace only when it differed from the usual, and took reports for figures of this moment; the usual time was learned at the paces that follow from it.

Change: a router reports its newest figure, and the peers add it to a mean of their own. The newest figure counts at once only where the upstream states its pace. The usual times are divided by stated paces alone.

--- a/lib/pace/sl_pace.c
+++ b/lib/pace/sl_pace.c
@@ -1,9 +1,11 @@
 /*
- * Two things are kept of an upstream. The newest stated or reported figure
+ * Two things are kept of an upstream. If it states its pace, the newest figure
  * counts in full at once and fades within the time that such a figure usually
- * holds. The mean of all figures, which decays slowly, tells upstreams that
- * are slow for good from those that were slow for a moment; it counts as far
- * as its standard error allows.
+ * holds; a measured one is too uncertain for that. The mean of all figures,
+ * which decays slowly, tells upstreams that are slow for good from those that
+ * were slow for a moment; it counts as far as its standard error allows. Peers
+ * hear of the newest figure, and add it to a mean of their own: means that the
+ * routers exchanged would confirm each other.
  */
 #include "sl_pace.h"
 
@@ -30,8 +32,6 @@
 /* Stated figures outside of this range are errors of their senders. */
 #define Sl_MIN_STATED_PERCENT 10
 #define Sl_MAX_STATED_PERCENT 2000
-/* Age up to which a learned pace is reported to peers. */
-#define Sl_REPORT_LIFETIME_US (2 * Sl_US_PER_S)
 
 /* Weighted figures; their weights decay with time. */
 struct sl_pace_mean {
@@ -50,8 +50,9 @@
 struct sl_pace {
     struct sl_pace_mean own;      /* of this router */
     struct sl_pace_mean reported; /* by peers */
-    struct sl_fresh_pace stated;  /* to this router */
+    struct sl_fresh_pace newest;  /* of this router, stated or measured */
     struct sl_fresh_pace heard;   /* from a peer */
+    int64_t stated_us; /* when the upstream last stated its pace; 0: never */
 };
 
 static double
@@ -170,23 +171,28 @@
                : decay(age_us, Sl_FRESH_HALF_LIFE_US);
 }
 
-/* Returns the newer one of both, of the upstream's own and a peer's words. */
 static const struct sl_fresh_pace *
-newest_fresh(const struct sl_pace *pace)
+newest_of(const struct sl_pace *pace)
 {
-    return pace->heard.factor != 0 && (pace->stated.factor == 0 ||
-                                       pace->heard.at_us > pace->stated.at_us)
-               ? &pace->heard
-               : &pace->stated;
+    return pace->heard.at_us > pace->newest.at_us ? &pace->heard
+                                                  : &pace->newest;
 }
 
-/* Returns true if the upstream has stated its pace since this router last lost
- * its evidence. */
+/* Returns true if the upstream states its pace, as far as this router knows.
+ */
 static bool
 states_pace(const struct sl_pace *pace, int64_t now_us)
 {
-    return pace->stated.factor != 0 &&
-           now_us - pace->stated.at_us < Sl_MEAN_LIFETIME_US;
+    return pace->stated_us != 0 &&
+           now_us - pace->stated_us < Sl_MEAN_LIFETIME_US;
+}
+
+/* Handles a figure of this router. */
+static void
+add_own(struct sl_pace *pace, int64_t now_us, double factor)
+{
+    pace->newest = (struct sl_fresh_pace){bounded(factor), now_us};
+    add_figure(&pace->own, now_us, pace->newest.factor);
 }
 
 /* ---- public ---- */
@@ -219,9 +225,8 @@
         /* Measured times of before would count beside what is stated. */
         pace->own = (struct sl_pace_mean){0};
     }
-    pace->stated.factor = bounded((double)percent / 100);
-    pace->stated.at_us = now_us;
-    add_figure(&pace->own, now_us, pace->stated.factor);
+    pace->stated_us = now_us;
+    add_own(pace, now_us, (double)percent / 100);
 }
 
 void
@@ -231,8 +236,7 @@
     if (expected_us <= 0 || took_us < 0 || states_pace(pace, now_us)) {
         return;
     }
-    add_figure(&pace->own, now_us,
-               bounded((double)took_us / (double)expected_us));
+    add_own(pace, now_us, (double)took_us / (double)expected_us);
 }
 
 void
@@ -242,7 +246,7 @@
     int64_t at_us = now_us - (int64_t)report->age_ms * Sl_US_PER_MS;
     if (report->percent < Sl_MIN_STATED_PERCENT ||
         report->percent > Sl_MAX_STATED_PERCENT ||
-        now_us - at_us >= Sl_REPORT_LIFETIME_US ||
+        now_us - at_us >= Sl_MEAN_LIFETIME_US ||
         (has_evidence(&pace->own, now_us) && at_us <= pace->own.at_us) ||
         (has_evidence(&pace->reported, now_us) &&
          at_us <= pace->reported.at_us)) {
@@ -280,9 +284,9 @@
     if (estimate.source == Sl_PACE_UNKNOWN) {
         return estimate;
     }
-    const struct sl_fresh_pace *fresh = newest_fresh(pace);
+    const struct sl_fresh_pace *fresh = newest_of(pace);
     double excess = fresh->factor - estimate.factor;
-    if (excess > 0) {
+    if (excess > 0 && states_pace(pace, now_us)) {
         estimate.factor += excess * freshness(fresh, now_us);
     }
     estimate.doubt = error_of(&mean);
@@ -294,16 +298,11 @@
 SlPace_FillReport(const struct sl_pace *pace, int64_t now_us,
                   struct sl_gossip_pace *report)
 {
-    struct sl_pace_mean own = decayed(&pace->own, now_us);
-    bool is_stated = states_pace(pace, now_us);
-    double factor = is_stated ? pace->stated.factor : shrunk(&own);
-    int64_t age_us = now_us - own.at_us;
-    int64_t lifetime_us = is_stated ? Sl_FRESH_US : Sl_REPORT_LIFETIME_US;
-    if (own.weight == 0 || age_us >= lifetime_us ||
-        (!is_stated && factor == 1)) {
+    int64_t age_us = now_us - pace->newest.at_us;
+    if (pace->newest.factor == 0 || age_us >= Sl_FRESH_US) {
         return false;
     }
-    report->percent = (uint16_t)lround(100 * factor);
+    report->percent = (uint16_t)lround(100 * pace->newest.factor);
     report->age_ms = (uint32_t)(age_us / Sl_US_PER_MS);
     return true;
 }
--- a/lib/pace/sl_pace.h
+++ b/lib/pace/sl_pace.h
@@ -74,9 +74,8 @@
 
 struct sl_upstream_pace SlPace_Estimate(const struct sl_pace *pace,
                                         int64_t now_us);
-/* Fills in what this router itself has learned, but for the upstream. Returns
- * false if there is nothing that the peers should hear of: nothing new, or the
- * usual pace where none is stated. */
+/* Fills in the newest figure of this router, but for the upstream. Returns
+ * false if there is none, or it is too old to be of use to the peers. */
 bool SlPace_FillReport(const struct sl_pace *pace, int64_t now_us,
                        struct sl_gossip_pace *report);
 
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -132,7 +132,7 @@
                  const struct sl_routed_request *request, int64_t took_us)
 {
     const struct sl_upstream_call *call = &request->upstream_call;
-    int64_t usual_us = SlUpstreamPace_UsualUs(router, call, took_us);
+    int64_t usual_us = SlUpstreamPace_UsualUs(call, took_us);
     if (!call->at_baseline &&
         SlRollouts_IsRunning(router, &request->service->name)) {
         return;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -931,10 +931,10 @@
  * use, so that its load does not influence the time of a response much. */
 bool SlUpstreamPace_IsLightlyLoaded(const struct sl_router *router,
                                     const struct sl_router_upstream *upstream);
-/* Returns the time that the call, which took `took_us` until its head, would
- * have taken at the usual pace. */
-int64_t SlUpstreamPace_UsualUs(const struct sl_router *router,
-                               const struct sl_upstream_call *call,
+/* Returns the time that the call, which took `took_us`, would have taken at
+ * the usual pace. Only a stated pace counts: a learned one is relative to the
+ * usual time, which this is for. */
+int64_t SlUpstreamPace_UsualUs(const struct sl_upstream_call *call,
                                int64_t took_us);
 /* Updates the service's run time with a call that took `took_us`. */
 void SlUpstreamPace_LearnRun(struct sl_router *router,
--- a/lib/router/sl_upstream_pace.c
+++ b/lib/router/sl_upstream_pace.c
@@ -44,13 +44,13 @@
 }
 
 int64_t
-SlUpstreamPace_UsualUs(const struct sl_router *router,
-                       const struct sl_upstream_call *call, int64_t took_us)
+SlUpstreamPace_UsualUs(const struct sl_upstream_call *call, int64_t took_us)
 {
-    double factor = call->head.pace_percent > 0
-                        ? CLAMP((double)call->head.pace_percent / 100,
-                                Sl_PACE_MIN, Sl_PACE_MAX)
-                        : SlUpstreamPace_Factor(router, call->upstream);
+    int64_t percent = call->head.pace_percent;
+    if (percent == 0) {
+        return took_us;
+    }
+    double factor = CLAMP((double)percent / 100, Sl_PACE_MIN, Sl_PACE_MAX);
     return (int64_t)((double)took_us / factor);
 }
 
@@ -73,7 +73,7 @@
     const struct sl_upstream_call *call = &request->upstream_call;
     if (call->was_lightly_loaded && !call->was_cold) {
         SlLatency_LearnLightRun(router, &request->service->name,
-                                SlUpstreamPace_UsualUs(router, call, took_us));
+                                SlUpstreamPace_UsualUs(call, took_us));
     }
 }
 
@@ -101,11 +101,24 @@
 
 /* ---- digests ---- */
 
-/* Returns how much the peers need the report. */
-static int
-weight_of(const struct sl_gossip_pace *report)
+/* Adds the report to the digest, instead of the oldest one if it is full. */
+static void
+add_report(struct sl_gossip_digest *digest,
+           const struct sl_gossip_pace *report)
 {
-    return abs((int)report->percent - 100);
+    size_t oldest = 0;
+    if (digest->pace_count < Sl_GOSSIP_MAX_PACES) {
+        digest->paces[digest->pace_count++] = *report;
+        return;
+    }
+    for (size_t i = 1; i < Sl_GOSSIP_MAX_PACES; i++) {
+        if (digest->paces[i].age_ms > digest->paces[oldest].age_ms) {
+            oldest = i;
+        }
+    }
+    if (report->age_ms < digest->paces[oldest].age_ms) {
+        digest->paces[oldest] = *report;
+    }
 }
 
 void
@@ -119,26 +132,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_router_upstream *upstream = value;
         struct sl_gossip_pace report = {.upstream = upstream->key};
-        if (!SlPace_FillReport(upstream->pace, router->now_us, &report)) {
-            continue;
-        }
-        size_t at = digest->pace_count;
-        if (at < Sl_GOSSIP_MAX_PACES) {
-            digest->pace_count++;
-        }
-        else {
-            at = 0; /* replaces the one that is needed least */
-            for (size_t i = 1; i < Sl_GOSSIP_MAX_PACES; i++) {
-                at = weight_of(&digest->paces[i]) <
-                             weight_of(&digest->paces[at])
-                         ? i
-                         : at;
-            }
-            if (weight_of(&report) <= weight_of(&digest->paces[at])) {
-                continue;
-            }
+        if (SlPace_FillReport(upstream->pace, router->now_us, &report)) {
+            add_report(digest, &report);
         }
-        digest->paces[at] = report;
     }
 }
 
--- a/tests/unit/pace_test.cc
+++ b/tests/unit/pace_test.cc
@@ -207,6 +207,7 @@
 {
     Pace here, there;
     struct sl_gossip_pace told = {};
+    SlPace_OnStated(there.get(), start_us - Sl_US_PER_S, 100);
     SlPace_OnStated(here.get(), start_us, 250);
     int64_t now_us = start_us + 100 * Sl_US_PER_MS;
     ASSERT_TRUE(SlPace_FillReport(here.get(), now_us, &told));
@@ -218,6 +219,7 @@
     EXPECT_EQ(estimate.source, Sl_PACE_REPORTED);
     EXPECT_EQ(estimate.age_us, 100 * Sl_US_PER_MS);
     // A report isn't passed on: peers would hear their own words again.
+    now_us += 600 * Sl_US_PER_MS;
     EXPECT_FALSE(SlPace_FillReport(there.get(), now_us, &told));
     EXPECT_FALSE(SlPace_FillReport(here.get(), start_us + Sl_US_PER_S, &told));
 }
@@ -239,6 +241,27 @@
     EXPECT_EQ(pace.factor(now_us + 10), 1);
 }
 
+// Where no pace is stated, a figure is the time of one request, which says
+// little. Several routers' figures of a usual upstream do not add up to a slow
+// one.
+TEST(Pace, MeasuredReportsCountOnlyInTheMean)
+{
+    const int64_t took_us[] = {60000, 140000, 80000, 110000, 220000,
+                               50000, 90000,  75000, 100000};
+    Pace here, there;
+    double most = 1;
+    int64_t now_us = start_us;
+    for (int i = 0; i < 200; i++) {
+        struct sl_gossip_pace told;
+        now_us += 200 * Sl_US_PER_MS;
+        SlPace_OnMeasured(here.get(), now_us, 100000, took_us[i % 9]);
+        ASSERT_TRUE(SlPace_FillReport(here.get(), now_us, &told));
+        SlPace_OnReport(there.get(), now_us, &told);
+        most = std::max(most, there.factor(now_us));
+    }
+    EXPECT_LT(most, 1.1);
+}
+
 // Each of eight routers sees an upstream every 3 s: together they learn that
 // it is slow.
 TEST(Pace, RoutersLearnTogether)
