--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -387,9 +387,16 @@
 }
 
 void
-Deployment::on_head(void *context, uint64_t, const struct sl_head *head)
+Deployment::on_head(void *context, uint64_t id, const struct sl_head *head)
 {
     Call *call = static_cast<Call *>(context);
+    Deployment *deployment = call->deployment;
+    if (call->response.request.pause_ms > 0) {
+        SlHttpClient_Pause(deployment->client, id);
+        deployment->scheduler.run_after(
+            call->response.request.pause_ms,
+            [deployment, id] { SlHttpClient_Resume(deployment->client, id); });
+    }
     call->response.status = head->status;
     for (size_t i = 0; i < head->header_count; i++) {
         call->response.headers += text_of(head->headers[i].name) + ": " +
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -28,6 +28,7 @@
     int64_t last_event = -1;      // Last-Event-Id; -1: no such header
     std::string extra_headers;    // lines "Name: value\r\n"
     size_t unsent_body_bytes = 0; // of a body that is announced, never sent
+    int64_t pause_ms = 0; // after the head, the client reads nothing for this
 };
 
 // What the client received.
--- a/tests/soak/scenarios.cc
+++ b/tests/soak/scenarios.cc
@@ -289,6 +289,28 @@
     deployment.store->fault = StoreFault::none;
 }
 
+// A client that reads nothing for some seconds gets its whole stream, and
+// others are served meanwhile.
+static void
+scenario_slow_client(Deployment &deployment)
+{
+    deployment.extra_settings = "Contracts=base,pressure\n";
+    deployment.signal_router(0, SIGTERM);
+    deployment.run_until(step_timeout_ms, [&deployment] {
+        return deployment.routers[0].pid == 0;
+    });
+    deployment.start_router(0);
+    wait_usable_upstreams(deployment, "plume", 2);
+    PendingRequest slow;
+    ClientRequest request = make_request("large-slow", "/w/x", "m1");
+    request.pause_ms = 3000;
+    request.deadline_ms = 15000;
+    start_request(deployment, 0, request, slow);
+    deployment.run_for(2500);
+    request_and_print(deployment, 0, make_request("beside", "/w/x", "m1"));
+    print_response(deployment, wait_response(deployment, slow));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -323,6 +345,7 @@
     scenario_runner_failures(deployment);
     scenario_drain(deployment);
     scenario_store_unavailable(deployment);
+    scenario_slow_client(deployment);
     for (size_t router = 0; router < 2; router++) {
         deployment.signal_router(router, SIGTERM);
     }
--- a/tests/standins/runner.cc
+++ b/tests/standins/runner.cc
@@ -15,17 +15,24 @@
     return SlHash_Mix(SlHash_Bytes(0, view_of(text)));
 }
 
+static bool
+is_large(const std::string &request)
+{
+    return request.compare(0, 6, "large-") == 0;
+}
+
 size_t
 stream_event_count(const std::string &request)
 {
-    return 3 + hash_of(request) % 20;
+    return is_large(request) ? 100 : 3 + hash_of(request) % 20;
 }
 
 std::string
 stream_event(const std::string &request, size_t index)
 {
+    std::string padding(is_large(request) ? 65536 : 0, 'x');
     return "id: " + std::to_string(index) + "\ndata: " + request + "-" +
-           std::to_string(index) + "\n\n";
+           std::to_string(index) + padding + "\n\n";
 }
 
 std::string
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -158,7 +158,8 @@
     int64_t event_interval_ms = 15; // between the events of a stream
 };
 
-// Number of events in the stream of a request.
+// Number of events in the stream of a request; those whose id begins with
+// "large-" have 100 events of 64 KiB.
 size_t stream_event_count(const std::string &request);
 // Text of one of these events, as sent.
 std::string stream_event(const std::string &request, size_t index);
