router: room that is kept for a request is not held against it

Until the peers had heard of it, the reservation counted as held by others for the request that it was made for: it waited for the turns to pass even with enough room. Scripts: room (refusal, short ones go past, the engine kept free, restart), slow_client (a paused call is not given up; the same silence without the pause is).

--- a/lib/room/sl_room.c
+++ b/lib/room/sl_room.c
@@ -149,7 +149,7 @@
         return Sl_ROOM_LATER;
     }
     int64_t others = unseen_routers(request);
-    if (request->is_reserved || others == 0) {
+    if ((request->is_reserved && request->is_settled) || others == 0) {
         return Sl_ROOM_FITS;
     }
     /* Half of the free room is for the router that has its turn, the other
--- a/lib/room/sl_room.h
+++ b/lib/room/sl_room.h
@@ -68,9 +68,10 @@
     size_t routers;        /* that send to the service, this one included */
     size_t engines;        /* of the service */
     bool has_turn;         /* it is this router's turn at the engine */
-    /* The room that is reserved there is for this request, and the peers have
-     * heard so. */
-    bool is_reserved;
+    bool is_reserved;      /* the room that is kept there is for it */
+    /* Since the room was reserved, this router has heard of all that the peers
+     * sent before they knew. */
+    bool is_settled;
 };
 
 enum sl_room_fit {
--- a/lib/router/sl_engine_rooms.c
+++ b/lib/router/sl_engine_rooms.c
@@ -189,17 +189,14 @@
            Sl_US_PER_MS;
 }
 
-/* Returns true if the upstream has room that is kept for the request, and this
- * router has heard of all that the peers sent there before they knew. */
+/* Returns true if the upstream has room that is kept for the request. */
 static bool
 is_kept_for(const struct sl_router *router,
             const struct sl_routed_request *request,
             const struct sl_router_upstream *upstream)
 {
-    const struct sl_engine_rooms *rooms = router->rooms;
-    return rooms->conn == request->conn &&
-           SlName_Equal(&rooms->upstream, &upstream->registration.id) &&
-           router->now_us - rooms->reserved_us >= turn_length_us(router);
+    return router->rooms->conn == request->conn &&
+           SlName_Equal(&router->rooms->upstream, &upstream->registration.id);
 }
 
 /* Returns the estimated time in us until requests that run there have released
@@ -234,6 +231,8 @@
         .engines = router->rooms->engines,
         .has_turn = until_turn_us == 0,
         .is_reserved = is_kept_for(router, request, upstream),
+        .is_settled = router->now_us - router->rooms->reserved_us >=
+                      turn_length_us(router),
     };
     switch (SlRoom_Fit(upstream->room, &wanted)) {
     case Sl_ROOM_FITS:
@@ -313,8 +312,6 @@
     rooms->conn = request->conn;
     rooms->upstream = placement->roomiest->registration.id;
     rooms->reserved_us = router->now_us;
-    SlRoom_Reserve(placement->roomiest->room, demand_of(request));
-    router->loads_changed = true;
     SlLogLine_BeginFor(router, "room_kept", request);
     SlLogLine_Name(router, "upstream", &rooms->upstream);
     SlLogLine_Int(router, "tokens", demand_of(request));
@@ -323,6 +320,8 @@
     SlLogLine_Int(router, "waited_ms",
                   (router->now_us - request->queued_us) / Sl_US_PER_MS);
     SlLogLine_End(router, Sl_LOG_INFO);
+    SlRoom_Reserve(placement->roomiest->room, demand_of(request));
+    router->loads_changed = true;
 }
 
 void
--- a/tests/unit/room_test.cc
+++ b/tests/unit/room_test.cc
@@ -129,6 +129,8 @@
     EXPECT_EQ(SlRoom_LocalTokens(room), long_tokens); // peers are told
     EXPECT_EQ(fit(short_tokens), Sl_ROOM_LATER);
     request.is_reserved = true;
+    EXPECT_EQ(fit(long_tokens), Sl_ROOM_LATER); // others may be sending
+    request.is_settled = true;
     EXPECT_EQ(fit(long_tokens), Sl_ROOM_FITS);
     EXPECT_EQ(fit(long_tokens + 1), Sl_ROOM_LATER);
     request.is_reserved = false;
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -7,10 +7,11 @@
 // where nothing else is said.
 //   include FILE           runs the lines of another file
 //   start [vm=] [domain=] [exposure=] [max-buffered=BYTES] [seeds=VM,..]
-//     [first] [regions=DOMAIN:REGION,..]
+//     [first] [guards-memory] [regions=DOMAIN:REGION,..]
 //       starts the router; max-buffered: bound of buffered response bytes;
 //       first: the whole fleet starts
-//   service NAME [engine] [slots=] [models=a,b] [cold-s=] [cold-per-s=]
+//   service NAME [engine] [slots=] [memory=TOKENS] [models=a,b] [cold-s=]
+//     [cold-per-s=]
 //   route NAME host= prefix= kind= to=SERVICE[:WEIGHT],.. [timeout=] [target=]
 //     [gap=] [attempts=] [priority=] [models=a,b] [resumable] [public]
 //     [regions=]
@@ -47,6 +48,8 @@
 //       another upstream has this address; invalid-retry: the Retry-After
 //       field is invalid
 //   chunk CONN TEXT         next bytes of the response
+//   paused CONN | resumed CONN
+//       the response is read no further, or again: the client is slow
 //   done CONN [err=] [not-connected]
 //       the newest call for that client ends; not-connected: no connection
 //       was established
@@ -277,6 +280,8 @@
                 {"head", &Script::on_head},
                 {"chunk", &Script::on_chunk},
                 {"done", &Script::on_done},
+                {"paused", &Script::on_paused},
+                {"resumed", &Script::on_paused},
                 {"digest", &Script::on_digest},
                 {"appended", &Script::on_appended},
                 {"peer-list", &Script::on_peer_list},
@@ -352,6 +357,7 @@
         simulation.max_buffered_bytes = (size_t)args.number("max-buffered");
         simulation.seeds = split(args.str("seeds"));
         simulation.is_first_start = args.has_word("first");
+        simulation.guards_memory = args.has_word("guards-memory");
         simulation.start(args.str("vm", "e1"), args.str("domain", "brest"),
                          bounds, args.str("regions"));
     }
@@ -374,6 +380,7 @@
         service.name = args.name_at(1);
         service.is_engine = args.has_word("engine");
         service.slots = args.number("slots", 4);
+        service.memory_tokens = args.number("memory");
         service.cold_start_us =
             (int64_t)(args.real("cold-s") * (double)Sl_US_PER_S);
         service.cold_requests_per_s = args.real("cold-per-s");
@@ -701,6 +708,16 @@
         simulation.reduce(event);
     }
 
+    void
+    on_paused(const script_line &args)
+    {
+        struct sl_router_event event =
+            simulation.make_event(Sl_ROUTER_EVENT_RESPONSE_PAUSED);
+        event.u.response.token = newest_call(args);
+        event.u.response.is_paused = args.words[0] == "paused";
+        simulation.reduce(event);
+    }
+
     void
     on_done(const script_line &args)
     {
