router: placement by what engines are expected to have kept

Replaces the parts that each router remembered for 30 s. At engines whose memory is configured, a prompt with shared parts costs less at its home and where it is claimed to be; elsewhere the choice is as before. What was sent away from its home is told in digests. Two metrics and members of the log line "sent".

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -122,6 +122,9 @@
     SlRollouts_AddToDigest(router, digest);
     SlQuarantine_FillReport(router->quarantine, router->now_us,
                             &digest->quarantine);
+    digest->kept_part_count =
+        SlKept_FillReport(router->kept, router->now_us, digest->kept_parts,
+                          Sl_GOSSIP_MAX_KEPT_PARTS);
 }
 
 void
@@ -487,6 +490,7 @@
         SlRollouts_OnReport(router, &digest->vm, &digest->rollouts[i]);
     }
     SlPromptGuard_OnReport(router, &digest->quarantine);
+    SlKeptParts_OnReport(router, digest);
 }
 
 /* ---- members ---- */
--- a/lib/router/sl_engine_ends.c
+++ b/lib/router/sl_engine_ends.c
@@ -133,6 +133,7 @@
                   (router->now_us - end->at_us) / Sl_US_PER_MS);
     SlLogLine_End(router, Sl_LOG_INFO);
     SlRouterMetrics_OnEngineEnded(router, &end->service);
+    SlKeptParts_OnEnded(router, &end->upstream);
     SlPromptGuard_OnEnd(router, &end->upstream, &end->service, end->at_us,
                         end->unbegun, end->unbegun_count);
 }
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -146,24 +146,14 @@
     return earliest_us;
 }
 
-/* Returns the number of prompt tokens that the upstream is estimated not to
- * have in its prefix cache; 0 if it is no engine. */
-static int64_t
-uncached_tokens_of(const struct sl_routed_request *request,
-                   const struct sl_router_upstream *upstream)
-{
-    return request->service->is_engine
-               ? SlUpstreams_UncachedTokens(request, upstream)
-               : 0;
-}
-
 /* Returns the estimated time to the first event. Engines interleave prefill
  * with the tokens of other streams, so that prefill takes longer under load.
  */
 static int64_t
 first_event_us(const struct sl_router *router,
                const struct sl_routed_request *request,
-               const struct sl_router_upstream *upstream)
+               const struct sl_router_upstream *upstream,
+               const struct sl_kept_estimate *kept)
 {
     int64_t load = SlUpstreams_Load(router, upstream);
     if (!request->service->is_engine) {
@@ -171,8 +161,9 @@
     }
     struct sl_name model = {0};
     (void)SlName_Set(&model, SlRoutedRequest_Model(request));
-    int64_t prefill_us = SlLatency_PrefillUs(
-        router, &model, uncached_tokens_of(request, upstream));
+    int64_t prefill_us = SlLatency_PrefillUs(router, &model,
+                                             request->incoming.prompt_tokens -
+                                                 kept->expected_tokens);
     return SlUpstreams_PrefillBacklogUs(router, upstream) + prefill_us +
            (int64_t)(Sl_PREFILL_STALL_SHARE * (double)(prefill_us * load));
 }
@@ -193,7 +184,9 @@
 static int64_t
 cost_us_of(const struct sl_router *router,
            const struct sl_routed_request *request,
-           const struct sl_router_upstream *upstream)
+           const struct sl_router_upstream *upstream,
+           const struct sl_kept_choice *choice,
+           const struct sl_kept_estimate *kept)
 {
     const struct sl_route *route = request->route;
     if (request->is_trial) {
@@ -203,10 +196,10 @@
     int64_t objective_us = route->target_latency_us > 0
                                ? route->target_latency_us
                                : Sl_DEFAULT_LATENCY_US;
-    int64_t cost_us = first_event_us(router, request, upstream);
+    int64_t cost_us = first_event_us(router, request, upstream, kept);
     if (request->service->is_engine) {
         cost_us += Sl_UNCACHED_COST_US_PER_TOKEN *
-                       uncached_tokens_of(request, upstream) +
+                       SlKeptParts_StrayTokens(choice, kept) +
                    Sl_STREAM_COST_US * SlUpstreams_Load(router, upstream) +
                    Sl_SUSPECT_COST_US * upstream->suspect_calls;
     }
@@ -215,7 +208,7 @@
         cost_us +=
             (int64_t)(Sl_OTHER_DOMAIN_COST_SHARE * (double)objective_us);
     }
-    if (request->session != 0) {
+    if (request->session != 0 && !choice->has_homes) {
         cost_us +=
             hashed_cost_us(Sl_AFFINITY_COST_US, request->session, upstream);
     }
@@ -249,11 +242,40 @@
     }
 }
 
+/* Makes the candidate with the least cost the placement. */
+static void
+choose_among(struct sl_router *router, const struct sl_routed_request *request,
+             const GPtrArray *candidates, struct sl_placement *placement)
+{
+    struct sl_kept_choice choice = {0};
+    SlKeptParts_Prepare(router, request, candidates, &choice);
+    for (guint i = 0; i < candidates->len; i++) {
+        struct sl_router_upstream *upstream = candidates->pdata[i];
+        struct sl_kept_estimate kept =
+            SlKeptParts_Estimate(router, &choice, upstream);
+        int64_t cost_us =
+            cost_us_of(router, request, upstream, &choice, &kept);
+        update_best(placement, upstream, cost_us);
+        if (placement->upstream == upstream) {
+            placement->kept = kept;
+        }
+        if (kept.is_home) {
+            placement->home_cost_us = MIN(placement->home_cost_us, cost_us);
+        }
+    }
+    if (placement->upstream != NULL) {
+        placement->first_event_us = first_event_us(
+            router, request, placement->upstream, &placement->kept);
+    }
+}
+
 struct sl_placement
 SlPlacement_Choose(struct sl_router *router,
                    const struct sl_routed_request *request)
 {
-    struct sl_placement placement = {.wait_us = Sl_NEVER_US};
+    struct sl_placement placement = {.wait_us = Sl_NEVER_US,
+                                     .home_cost_us = Sl_NEVER_US};
+    GPtrArray *candidates = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
     enum sl_version_rule rule = SlRollouts_VersionRule(router, request);
@@ -275,14 +297,11 @@
                 MIN(placement.wait_us, earliest_us - router->now_us);
             continue;
         }
-        update_best(&placement, upstream,
-                    cost_us_of(router, request, upstream));
+        g_ptr_array_add(candidates, upstream);
     }
     placement.all_backing_off =
         backing_off_count > 0 && backing_off_count == placement.serving_count;
-    if (placement.upstream != NULL) {
-        placement.first_event_us =
-            first_event_us(router, request, placement.upstream);
-    }
+    choose_among(router, request, candidates, &placement);
+    g_ptr_array_free(candidates, TRUE);
     return placement;
 }
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -140,6 +140,7 @@
         struct sl_name model = {0};
         (void)SlName_Set(&model, SlRoutedRequest_Model(request));
         SlLatency_LearnPrefill(router, &model, call->uncached_tokens, took_us);
+        SlKeptParts_OnBegun(router, request, took_us);
     }
     if (!request->service->is_engine && !call->was_cold) {
         SlLatency_LearnRouteHead(router, &request->route->name, took_us);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -22,6 +22,7 @@
  * sl_request_queue.c     requests that wait for an upstream
  * sl_upstream_call.c     sends requests to upstreams
  * sl_placement.c         chooses the upstream for a request
+ * sl_kept_parts.c        which upstreams are likely to have kept a prompt
  * sl_rollouts.c          moves a service's traffic to a version
  * sl_rollout_sessions.c  which sessions a roll-out moves first
  * sl_rollout_status.c    writes the state of a roll-out to the store
@@ -45,6 +46,7 @@
 #define Sl_ROUTER_INTERNAL_H
 
 #include "sl_gossip.h"
+#include "sl_kept.h"
 #include "sl_quarantine.h"
 #include "sl_router.h"
 #include "sl_stall_policy.h"
@@ -113,9 +115,8 @@
     int64_t prefill_started_us; /* when the first of those prefills began */
     int64_t peers_in_flight;    /* calls of the peers, by their digests */
     int64_t peers_prefill_backlog_us; /* prefill backlog of the peers */
-    /* What its prefix cache is expected to hold: key -> struct
-     * sl_cached_prefix_part, owned. */
-    GHashTable *cached_prefix_parts;
+    /* What its prefix cache is expected to hold; owned. */
+    struct sl_kept_engine *kept;
 };
 
 /* What an upstream has announced in its responses. */
@@ -130,12 +131,6 @@
     int64_t backoff_until_us; /* it asked for no request until then */
 };
 
-/* A prompt part that an upstream is expected to have in its prefix cache. */
-struct sl_cached_prefix_part {
-    uint64_t key;    /* hash of the part's id and the model */
-    int64_t used_us; /* when a prompt with it was last sent there */
-};
-
 /* ---- latency estimates ---- */
 
 /* Estimates of the time that a model takes until its response begins. */
@@ -343,6 +338,7 @@
                               progress: head, whole event, bytes of a body */
     int64_t next_check_us; /* next time to check it for a stall; 0: at once */
     int64_t expected_us;   /* estimated time to its head, when it was sent */
+    struct sl_kept_estimate kept; /* of its prompt, if it is an engine */
     int64_t uncached_tokens; /* prompt tokens that the upstream is estimated
                                 not to have in its prefix cache */
     bool is_prefilling;      /* its prompt counts in the prefill backlog */
@@ -571,6 +567,7 @@
     GHashTable *health_checks; /* token -> id of the upstream, both owned */
     GArray *broken_calls;      /* struct sl_broken_call, oldest first */
     struct sl_quarantine *quarantine;
+    struct sl_kept *kept;       /* parts of prompts that engines keep */
     bool has_local_evidence;    /* its announcement also goes to the leaders */
     uint64_t evidence_timer;    /* for the next digest about evidence */
     int64_t stall_check_due_us; /* next time to check a call for a stall */
@@ -603,6 +600,8 @@
     Sl_ROUTER_METRIC_PROMPTS_SUSPECTED,
     Sl_ROUTER_METRIC_PROMPT_BLOCKS,
     Sl_ROUTER_METRIC_PROMPT_TRIALS,
+    Sl_ROUTER_METRIC_KEPT_CALLS,
+    Sl_ROUTER_METRIC_KEPT_TOKENS,
     Sl_ROUTER_METRIC_PROMPT_RELEASES,
     Sl_ROUTER_METRIC_PROMPT_REFUSALS,
     Sl_ROUTER_METRIC_PROMPT_BLOCKS_ACTIVE,
@@ -665,6 +664,16 @@
 void SlRouterMetrics_OnPromptRefused(struct sl_router *router,
                                      const struct sl_name *service);
 void SlRouterMetrics_OnPromptTrial(struct sl_router *router);
+/* Counts a prompt that is sent to an engine whose memory is known: "home",
+ * "held" or "away", and the tokens that are expected to be kept. */
+void SlRouterMetrics_OnKept(struct sl_router *router,
+                            const struct sl_name *service, const char *placed,
+                            int64_t expected_tokens);
+/* Counts tokens that were taken to be kept, and those of them that seem to
+ * have been. */
+void SlRouterMetrics_OnKeptSeen(struct sl_router *router,
+                                const struct sl_name *service,
+                                int64_t judged_tokens, int64_t seen_tokens);
 /* Counts a response that is discarded for low confidence. */
 void SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                      const struct sl_routed_request *request);
@@ -819,16 +828,12 @@
 int64_t
 SlUpstreams_PrefillBacklogUs(const struct sl_router *router,
                              const struct sl_router_upstream *upstream);
-/* Returns the number of prompt tokens that are not in the upstream's prefix
- * cache, as far as known. */
-int64_t SlUpstreams_UncachedTokens(const struct sl_routed_request *request,
-                                   const struct sl_router_upstream *upstream);
 /* Handles the end of a call's prefill: the head of its response has arrived,
  * or the call has ended without one. */
 void SlUpstreams_OnPrefillDone(struct sl_router *router,
                                struct sl_router_upstream *upstream,
                                struct sl_upstream_call *call);
-/* Removes cached prefix parts and notices that are too old to matter. */
+/* Removes kept parts and notices that are too old to matter. */
 void SlUpstreams_Sweep(struct sl_router *router);
 
 /* ---- notices of upstreams ---- */
@@ -1139,6 +1144,9 @@
     unsigned full_count;    /* those of them that cannot take it now */
     int64_t wait_us; /* estimated time until one of the full ones can take the
                         request; Sl_NEVER_US if there is none */
+    struct sl_kept_estimate kept; /* of the prompt at `upstream` */
+    /* Least cost of a home of the prompt; Sl_NEVER_US if there is none. */
+    int64_t home_cost_us;
     bool all_backing_off; /* all upstreams that may serve the request have
                              asked for back-off, so that `wait_us` is
                              certain */
@@ -1150,6 +1158,44 @@
 SlPlacement_Choose(struct sl_router *router,
                    const struct sl_routed_request *request);
 
+/* ---- kept parts of prompts ---- */
+
+/* Sets the choice of a request to an engine. `upstreams` are those that can
+ * take it now, struct sl_router_upstream. */
+void SlKeptParts_Prepare(const struct sl_router *router,
+                         const struct sl_routed_request *request,
+                         const GPtrArray *upstreams,
+                         struct sl_kept_choice *choice);
+/* Returns what the engine is expected to have kept of the prompt. */
+struct sl_kept_estimate
+SlKeptParts_Estimate(const struct sl_router *router,
+                     const struct sl_kept_choice *choice,
+                     const struct sl_router_upstream *upstream);
+/* Returns the tokens that the engine would read, but for those that have their
+ * home there: their place in its memory is well used. */
+int64_t SlKeptParts_StrayTokens(const struct sl_kept_choice *choice,
+                                const struct sl_kept_estimate *estimate);
+/* Records that the engine will have kept the prompt, and counts what is
+ * expected. */
+void SlKeptParts_OnCallSent(struct sl_router *router,
+                            struct sl_router_upstream *upstream,
+                            const struct sl_routed_request *request);
+/* Handles the head of a response that took `took_us` at an engine that read no
+ * other prompt. */
+void SlKeptParts_OnBegun(struct sl_router *router,
+                         const struct sl_routed_request *request,
+                         int64_t took_us);
+/* Handles that the engine has ended. */
+void SlKeptParts_OnEnded(struct sl_router *router, const struct sl_name *id);
+/* Handles a peer's report. */
+void SlKeptParts_OnReport(struct sl_router *router,
+                          const struct sl_gossip_digest *digest);
+/* Adds members about the kept parts to the log line of a call that is sent, if
+ * its engine's memory is known. */
+void SlKeptParts_Log(struct sl_router *router,
+                     const struct sl_routed_request *request,
+                     const struct sl_placement *placement);
+
 /* ---- startup queue ---- */
 
 /* Returns true while requests have to be held: the router has no
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -82,6 +82,20 @@
          "Trials of blocked prompts; outcome: sent, failed.",
          {"outcome"},
          NULL},
+    [Sl_ROUTER_METRIC_KEPT_CALLS] =
+        {"sassafrasledge_kept_calls_total",
+         Sl_METRIC_COUNTER,
+         "Prompts with shared parts, sent to engines whose memory is known; "
+         "placed: home, held, away.",
+         {"service", "placed"},
+         NULL},
+    [Sl_ROUTER_METRIC_KEPT_TOKENS] =
+        {"sassafrasledge_kept_tokens_total",
+         Sl_METRIC_COUNTER,
+         "Prompt tokens that engines have kept; kind: expected, and of those "
+         "whose responses tell, judged and seen.",
+         {"service", "kind"},
+         NULL},
     [Sl_ROUTER_METRIC_PROMPT_RELEASES] =
         {"sassafrasledge_prompt_releases_total",
          Sl_METRIC_COUNTER,
@@ -337,6 +351,34 @@
                   NULL, 1);
 }
 
+static void
+add_kept_tokens(struct sl_router *router, const struct sl_name *service,
+                const char *kind, int64_t tokens)
+{
+    struct sl_name label = SlName_Of(kind);
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_KEPT_TOKENS, service,
+                  &label, (double)tokens);
+}
+
+void
+SlRouterMetrics_OnKept(struct sl_router *router, const struct sl_name *service,
+                       const char *placed, int64_t expected_tokens)
+{
+    struct sl_name label = SlName_Of(placed);
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_KEPT_CALLS, service,
+                  &label, 1);
+    add_kept_tokens(router, service, "expected", expected_tokens);
+}
+
+void
+SlRouterMetrics_OnKeptSeen(struct sl_router *router,
+                           const struct sl_name *service,
+                           int64_t judged_tokens, int64_t seen_tokens)
+{
+    add_kept_tokens(router, service, "judged", judged_tokens);
+    add_kept_tokens(router, service, "seen", seen_tokens);
+}
+
 void
 SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                 const struct sl_routed_request *request)
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -35,6 +35,7 @@
     SlLogLine_Int(router, "peers_in_flight", upstream->peers_in_flight);
     SlLogLine_Int(router, "expected_ms", call->expected_us / Sl_US_PER_MS);
     SlLogLine_Int(router, "uncached_tokens", call->uncached_tokens);
+    SlKeptParts_Log(router, request, placement);
     SlLogLine_Name(router, "version", &upstream->registration.version);
     SlLogLine_Int(router, "heard_ms",
                   (router->now_us - upstream->registration_read_us) /
@@ -80,6 +81,7 @@
     }
     g_hash_table_insert(router->requests_by_token, &call->token, request);
     SlRollouts_OnCallSent(router, request, upstream);
+    call->kept = placement->kept;
     SlUpstreams_OnCallSent(router, upstream, request); /* sets estimates */
     SlStallMonitor_Watch(router, request);
 
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -28,15 +28,12 @@
 /* Least share of the estimated prefill backlog that counts when the prefill
  * takes longer than estimated. */
 #define Sl_MIN_BACKLOG_SHARE 0.3
-/* Time without use after which a prefix part counts as evicted. Upstreams
- * evict the parts that are used least; this is about when. */
-#define Sl_CACHED_PART_LIFETIME_US (30 * Sl_US_PER_S)
 
 void
 SlUpstreams_Free(gpointer data)
 {
     struct sl_router_upstream *upstream = data;
-    g_hash_table_destroy(upstream->cached_prefix_parts);
+    SlKeptEngine_Free(upstream->kept);
     g_free(upstream);
 }
 
@@ -103,9 +100,8 @@
 {
     struct sl_router_upstream *upstream = g_new0(struct sl_router_upstream, 1);
     upstream->registration = *reg;
-    upstream->cached_prefix_parts =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     upstream->key = (uint32_t)SlHash_Bytes(0, SlName_Str(&reg->id));
+    upstream->kept = SlKeptEngine_New(upstream->key);
     g_hash_table_insert(router->upstreams, &upstream->registration.id,
                         upstream);
     link_key(router, upstream);
@@ -143,7 +139,7 @@
 static void
 reset_instance(struct sl_router *router, struct sl_router_upstream *upstream)
 {
-    g_hash_table_remove_all(upstream->cached_prefix_parts);
+    SlKeptEngine_Reset(upstream->kept);
     upstream->restarted_us = router->now_us;
     upstream->failures = 0;
     upstream->ejected_until_us = 0;
@@ -325,60 +321,6 @@
            upstream->peers_prefill_backlog_us;
 }
 
-/* Returns the key of the prompt part at `index` in the prefix cache. It
- * depends on the model, as upstreams cache parts for each model separately. */
-static uint64_t
-part_key(const struct sl_routed_request *request, size_t index)
-{
-    return SlHash_Bytes(request->incoming.parts[index].id,
-                        SlRoutedRequest_Model(request));
-}
-
-int64_t
-SlUpstreams_UncachedTokens(const struct sl_routed_request *request,
-                           const struct sl_router_upstream *upstream)
-{
-    int64_t cached_tokens = 0;
-    for (size_t i = 0; i < request->incoming.part_count; i++) {
-        uint64_t key = part_key(request, i);
-        if (!g_hash_table_contains(upstream->cached_prefix_parts, &key)) {
-            break; /* only a prefix of the prompt can come from the cache */
-        }
-        cached_tokens += request->incoming.parts[i].tokens;
-    }
-    return MAX(request->incoming.prompt_tokens - cached_tokens, 0);
-}
-
-/* Records that the upstream will have the prompt's parts in its prefix cache.
- */
-static void
-note_cached_parts(struct sl_router *router,
-                  struct sl_router_upstream *upstream,
-                  const struct sl_routed_request *request)
-{
-    for (size_t i = 0; i < request->incoming.part_count; i++) {
-        uint64_t key = part_key(request, i);
-        struct sl_cached_prefix_part *part =
-            g_hash_table_lookup(upstream->cached_prefix_parts, &key);
-        if (part == NULL) {
-            part = g_new0(struct sl_cached_prefix_part, 1);
-            part->key = key;
-            g_hash_table_insert(upstream->cached_prefix_parts, &part->key,
-                                part);
-        }
-        part->used_us = router->now_us;
-    }
-}
-
-static gboolean
-is_stale_part(gpointer key, gpointer value, gpointer data)
-{
-    const struct sl_router *router = data;
-    const struct sl_cached_prefix_part *part = value;
-    (void)key;
-    return router->now_us - part->used_us > Sl_CACHED_PART_LIFETIME_US;
-}
-
 void
 SlUpstreams_Sweep(struct sl_router *router)
 {
@@ -387,8 +329,7 @@
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_router_upstream *upstream = value;
-        g_hash_table_foreach_remove(upstream->cached_prefix_parts,
-                                    is_stale_part, router);
+        SlKeptEngine_Expire(upstream->kept, router->now_us);
     }
     SlUpstreamNotices_Sweep(router);
 }
@@ -414,7 +355,8 @@
         return;
     }
     (void)SlName_Set(&model, SlRoutedRequest_Model(request));
-    call->uncached_tokens = SlUpstreams_UncachedTokens(request, upstream);
+    call->uncached_tokens =
+        request->incoming.prompt_tokens - call->kept.expected_tokens;
     call->expected_us =
         SlLatency_PrefillUs(router, &model, call->uncached_tokens);
     call->is_prefilling = true;
@@ -422,7 +364,7 @@
         upstream->prefill_started_us = router->now_us;
     }
     upstream->prefill_backlog_us += call->expected_us;
-    note_cached_parts(router, upstream, request);
+    SlKeptParts_OnCallSent(router, upstream, request);
 }
 
 void
