router: a bounded cost of reading shared parts away from their home

Now it counts as four reads, up to a tenth of the route's latency objective, which bounds what a wrong estimate can cost.

--- a/lib/kept/sl_kept.c
+++ b/lib/kept/sl_kept.c
@@ -115,6 +115,18 @@
     return estimate;
 }
 
+int64_t
+SlKept_StrayTokens(const struct sl_kept_choice *choice,
+                   const struct sl_kept_estimate *estimate)
+{
+    if (!choice->has_homes || estimate->is_home) {
+        return 0;
+    }
+    return MAX(SlKeptPrompt_SharedTokens(&choice->prompt) -
+                   estimate->expected_tokens,
+               0);
+}
+
 /* ---- evidence ---- */
 
 static struct sl_read_time *
--- a/lib/kept/sl_kept.h
+++ b/lib/kept/sl_kept.h
@@ -158,6 +158,12 @@
                                         const struct sl_kept_prompt *prompt,
                                         bool is_home);
 
+/* Returns the tokens of shared parts that the engine would have to read, as
+ * far as expected, although it is no home of theirs; 0 if they have no home.
+ */
+int64_t SlKept_StrayTokens(const struct sl_kept_choice *choice,
+                           const struct sl_kept_estimate *estimate);
+
 /* ---- 5. Evidence ------------------------------------------------------ */
 
 /* A response that has begun at an engine that read no other prompt. */
--- a/lib/router/sl_kept_parts.c
+++ b/lib/router/sl_kept_parts.c
@@ -79,16 +79,6 @@
                            is_home);
 }
 
-int64_t
-SlKeptParts_StrayTokens(const struct sl_kept_choice *choice,
-                        const struct sl_kept_estimate *estimate)
-{
-    int64_t at_home_tokens =
-        estimate->is_home ? SlKeptPrompt_SharedTokens(&choice->prompt) : 0;
-    return choice->prompt.tokens -
-           MAX(at_home_tokens, estimate->expected_tokens);
-}
-
 static const char *
 placed_of(const struct sl_kept_prompt *prompt,
           const struct sl_kept_estimate *estimate)
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -24,6 +24,12 @@
 /* Cost of an uncached token beyond its prefill time: the new cache entry takes
  * the memory of others. */
 #define Sl_UNCACHED_COST_US_PER_TOKEN 20
+/* Cost of reading shared parts of a prompt away from their home, as a number
+ * of reads: the next prompts with them are sent to the home, and one engine's
+ * memory is enough for them. */
+#define Sl_STRAY_READS 4
+/* Largest such cost, as a share of the route's latency objective. */
+#define Sl_MAX_STRAY_COST_SHARE 0.1
 /* Largest cost of an upstream by the hash of the session. This cost spreads
  * prompts that no upstream has cached yet, in the same way at each router. */
 #define Sl_AFFINITY_COST_US (100 * Sl_US_PER_MS)
@@ -179,6 +185,26 @@
     return (int64_t)((double)largest_us * (double)(weight >> 11) * 0x1.0p-53);
 }
 
+/* Returns the cost of reading the prompt's shared parts away from their home;
+ * 0 if there is none, or if the upstream is one. */
+static int64_t
+stray_cost_us(const struct sl_router *router,
+              const struct sl_routed_request *request,
+              const struct sl_kept_choice *choice,
+              const struct sl_kept_estimate *kept, int64_t objective_us)
+{
+    int64_t tokens = SlKept_StrayTokens(choice, kept);
+    struct sl_name model = {0};
+    if (tokens == 0) {
+        return 0;
+    }
+    (void)SlName_Set(&model, SlRoutedRequest_Model(request));
+    int64_t read_us = SlLatency_PrefillUs(router, &model, tokens) -
+                      SlLatency_PrefillUs(router, &model, 0);
+    return MIN(Sl_STRAY_READS * read_us,
+               (int64_t)(Sl_MAX_STRAY_COST_SHARE * (double)objective_us));
+}
+
 /* Returns the estimated time to the first event plus the other costs of the
  * upstream. */
 static int64_t
@@ -198,10 +224,12 @@
                                : Sl_DEFAULT_LATENCY_US;
     int64_t cost_us = first_event_us(router, request, upstream, kept);
     if (request->service->is_engine) {
-        cost_us += Sl_UNCACHED_COST_US_PER_TOKEN *
-                       SlKeptParts_StrayTokens(choice, kept) +
-                   Sl_STREAM_COST_US * SlUpstreams_Load(router, upstream) +
-                   Sl_SUSPECT_COST_US * upstream->suspect_calls;
+        cost_us +=
+            Sl_UNCACHED_COST_US_PER_TOKEN *
+                (request->incoming.prompt_tokens - kept->expected_tokens) +
+            Sl_STREAM_COST_US * SlUpstreams_Load(router, upstream) +
+            Sl_SUSPECT_COST_US * upstream->suspect_calls +
+            stray_cost_us(router, request, choice, kept, objective_us);
     }
     if (!SlName_Equal(&upstream->registration.domain,
                       &router->options.domain)) {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1171,10 +1171,6 @@
 SlKeptParts_Estimate(const struct sl_router *router,
                      const struct sl_kept_choice *choice,
                      const struct sl_router_upstream *upstream);
-/* Returns the tokens that the engine would read, but for those that have their
- * home there: their place in its memory is well used. */
-int64_t SlKeptParts_StrayTokens(const struct sl_kept_choice *choice,
-                                const struct sl_kept_estimate *estimate);
 /* Records that the engine will have kept the prompt, and counts what is
  * expected. */
 void SlKeptParts_OnCallSent(struct sl_router *router,
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -667,7 +667,7 @@
 routing_record(const std::string &service, const std::string &prefix,
                int64_t max_attempts,
                const std::vector<std::string> &models = {},
-               double cold_requests_per_s = 0)
+               double cold_requests_per_s = 0, int64_t memory_tokens = 0)
 {
     struct sl_record record = {};
     struct sl_error err;
@@ -679,6 +679,7 @@
     added.slots = 64;
     added.cold_requests_per_s = cold_requests_per_s;
     added.cold_start_us = 20 * Sl_US_PER_S;
+    added.memory_tokens = memory_tokens;
     SlRouting_AddService(record.u.routing, &added, &err);
     struct sl_route route = {};
     std::vector<struct sl_name> names;
