router: who is about to be late doesn't wait for a home; kept parts are told less

Now it is a tenth of the time that would be left, and a part is told in two digests to the own failure domain.

test_kept: 11 passed; test_router RouterKept.*: 7 passed.

--- a/lib/kept/sl_kept.c
+++ b/lib/kept/sl_kept.c
@@ -13,6 +13,9 @@
  * its other delays don't shift the mean. */
 #define Sl_MIN_SHOWN_SHARE (-1.0)
 #define Sl_MAX_SHOWN_SHARE 2.0
+/* Number of reports in which a part is told that was sent away from its home.
+ */
+#define Sl_REPORTS_OF_STRAY 2
 /* Time for which a part that was sent away from its home is reported. */
 #define Sl_REPORT_US (10 * Sl_US_PER_S)
 
@@ -199,22 +202,26 @@
                uint32_t part)
 {
     kept->strays[kept->next_stray] =
-        (struct sl_kept_stray){engine, part, now_us};
+        (struct sl_kept_stray){engine, part, now_us, Sl_REPORTS_OF_STRAY};
     kept->next_stray = (kept->next_stray + 1) % Sl_KEPT_MAX_STRAYS;
 }
 
 size_t
-SlKept_FillReport(const struct sl_kept *kept, int64_t now_us,
+SlKept_FillReport(struct sl_kept *kept, int64_t now_us,
                   struct sl_gossip_kept_part *parts, size_t max)
 {
     size_t count = 0;
     for (size_t i = 1; i <= Sl_KEPT_MAX_STRAYS && count < max; i++) {
-        const struct sl_kept_stray *stray =
+        struct sl_kept_stray *stray =
             &kept->strays[(kept->next_stray + Sl_KEPT_MAX_STRAYS - i) %
                           Sl_KEPT_MAX_STRAYS];
         if (stray->part == 0 || now_us - stray->sent_us > Sl_REPORT_US) {
             break;
         }
+        if (stray->reports_left == 0) {
+            continue;
+        }
+        stray->reports_left--;
         parts[count++] = (struct sl_gossip_kept_part){
             .upstream = stray->engine,
             .part = stray->part,
--- a/lib/kept/sl_kept.h
+++ b/lib/kept/sl_kept.h
@@ -187,8 +187,9 @@
 void SlKept_OnStray(struct sl_kept *kept, int64_t now_us, uint32_t engine,
                     uint32_t part);
 /* Adds the parts that this router has sent away from their homes lately,
- * newest first, to the report; returns their number. */
-size_t SlKept_FillReport(const struct sl_kept *kept, int64_t now_us,
+ * newest first, to the report; returns their number. Each is reported twice,
+ * as reports may be lost. */
+size_t SlKept_FillReport(struct sl_kept *kept, int64_t now_us,
                          struct sl_gossip_kept_part *parts, size_t max);
 
 #endif
--- a/lib/kept/sl_kept_internal.h
+++ b/lib/kept/sl_kept_internal.h
@@ -78,6 +78,7 @@
     uint32_t engine; /* hash of its name */
     uint32_t part;
     int64_t sent_us;
+    unsigned reports_left; /* in which it is told */
 };
 
 struct sl_kept {
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -122,9 +122,6 @@
     SlRollouts_AddToDigest(router, digest);
     SlQuarantine_FillReport(router->quarantine, router->now_us,
                             &digest->quarantine);
-    digest->kept_part_count =
-        SlKept_FillReport(router->kept, router->now_us, digest->kept_parts,
-                          Sl_GOSSIP_MAX_KEPT_PARTS);
 }
 
 void
@@ -208,9 +205,17 @@
 send_to_domain(struct sl_router *router)
 {
     GPtrArray *recipients = g_ptr_array_new();
+    struct sl_gossip_digest digest = {0};
     add_domain_peers(router, recipients);
     router->domain_recipient_count = recipients->len;
-    send_to_recipients(router, recipients);
+    if (recipients->len > 0) {
+        fill_digest(router, &digest);
+        /* Routers of other domains hardly ever send to the same upstreams. */
+        digest.kept_part_count =
+            SlKept_FillReport(router->kept, router->now_us, digest.kept_parts,
+                              Sl_GOSSIP_MAX_KEPT_PARTS);
+    }
+    SlDigests_Send(router, &digest, recipients);
 }
 
 /* Sends a digest to the routers that get their updates from this one. */
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -28,7 +28,8 @@
  * of reads: the next prompts with them are sent to the home, and one engine's
  * memory is enough for them. */
 #define Sl_STRAY_READS 4
-/* Largest such cost, as a share of the route's latency objective. */
+/* Largest such cost, as a share of the time that would be left until the
+ * route's latency objective: who is about to be late doesn't wait. */
 #define Sl_MAX_STRAY_COST_SHARE 0.1
 /* Largest cost of an upstream by the hash of the session. This cost spreads
  * prompts that no upstream has cached yet, in the same way at each router. */
@@ -186,12 +187,13 @@
 }
 
 /* Returns the cost of reading the prompt's shared parts away from their home;
- * 0 if there is none, or if the upstream is one. */
+ * 0 if there is none, or if the upstream is one. `left_us` would be left until
+ * the latency objective. */
 static int64_t
 stray_cost_us(const struct sl_router *router,
               const struct sl_routed_request *request,
               const struct sl_kept_choice *choice,
-              const struct sl_kept_estimate *kept, int64_t objective_us)
+              const struct sl_kept_estimate *kept, int64_t left_us)
 {
     int64_t tokens = SlKept_StrayTokens(choice, kept);
     struct sl_name model = {0};
@@ -202,7 +204,7 @@
     int64_t read_us = SlLatency_PrefillUs(router, &model, tokens) -
                       SlLatency_PrefillUs(router, &model, 0);
     return MIN(Sl_STRAY_READS * read_us,
-               (int64_t)(Sl_MAX_STRAY_COST_SHARE * (double)objective_us));
+               (int64_t)(Sl_MAX_STRAY_COST_SHARE * (double)MAX(left_us, 0)));
 }
 
 /* Returns the estimated time to the first event plus the other costs of the
@@ -229,7 +231,9 @@
                 (request->incoming.prompt_tokens - kept->expected_tokens) +
             Sl_STREAM_COST_US * SlUpstreams_Load(router, upstream) +
             Sl_SUSPECT_COST_US * upstream->suspect_calls +
-            stray_cost_us(router, request, choice, kept, objective_us);
+            stray_cost_us(router, request, choice, kept,
+                          request->arrived_us + objective_us - router->now_us -
+                              cost_us);
     }
     if (!SlName_Equal(&upstream->registration.domain,
                       &router->options.domain)) {
--- a/tests/unit/kept_test.cc
+++ b/tests/unit/kept_test.cc
@@ -294,6 +294,7 @@
     Router receiver(2);
     struct sl_kept_prompt sent = prompt({1, 2, 3});
     struct sl_gossip_kept_part parts[Sl_GOSSIP_MAX_KEPT_PARTS];
+    std::map<uint32_t, int> told;
     for (uint32_t i = 0; i < 100; i++) {
         SlKept_OnStray(sender.kept.get(), sender.now_us, 5, 1000 + i);
     }
@@ -308,8 +309,21 @@
     SlKeptEngine_OnReport(receiver.engines[0], receiver.now_us, &parts[0]);
     EXPECT_EQ(receiver.expected(0, {1, 2, 9}), 2 * part_tokens);
     EXPECT_EQ(receiver.expected(0, {1, 8, 9}), 0);
-    sender.now_us += 10 * Sl_US_PER_S;
-    EXPECT_EQ(SlKept_FillReport(sender.kept.get(), sender.now_us, parts,
+    // The newest ones are told twice each, then no more.
+    for (size_t count = Sl_GOSSIP_MAX_KEPT_PARTS; count > 0;) {
+        for (size_t i = 0; i < count; i++) {
+            told[parts[i].part]++;
+        }
+        count = SlKept_FillReport(sender.kept.get(), sender.now_us, parts,
+                                  Sl_GOSSIP_MAX_KEPT_PARTS);
+    }
+    EXPECT_GE(told.size(), 24u);
+    for (const auto &part : told) {
+        EXPECT_EQ(part.second, 2);
+    }
+    SlKept_OnStray(sender.kept.get(), sender.now_us, 5, 1);
+    EXPECT_EQ(SlKept_FillReport(sender.kept.get(),
+                                sender.now_us + 11 * Sl_US_PER_S, parts,
                                 Sl_GOSSIP_MAX_KEPT_PARTS),
               0u);
 }
