--- a/tests/unit/kept_test.cc
+++ b/tests/unit/kept_test.cc
@@ -167,9 +167,13 @@
         router.send(0, {1, 100 + i});
     }
     EXPECT_EQ(router.expected(0, {1, 2, 4}), 2 * part_tokens);
-    for (uint64_t i = 0; i < 6; i++) {
+    for (uint64_t i = 0; i < 3; i++) {
         router.send(0, {1, 200 + i});
     }
+    EXPECT_EQ(router.expected(0, {1, 2, 4}), part_tokens * 3 / 2);
+    for (uint64_t i = 0; i < 3; i++) {
+        router.send(0, {1, 300 + i});
+    }
     EXPECT_EQ(router.expected(0, {1, 2, 4}), 1 * part_tokens);
     EXPECT_LE(SlKeptEngine_PartCount(router.engines[0]), 9u);
 }
--- a/tests/unit/router_kept.cc
+++ b/tests/unit/router_kept.cc
@@ -69,6 +69,16 @@
                (int64_t)first_us.size();
     }
 
+    int
+    busiest() const
+    {
+        int most = 0;
+        for (const auto &engine : calls) {
+            most = std::max(most, engine.second);
+        }
+        return most;
+    }
+
     int64_t
     p99_us() const
     {
@@ -111,6 +121,10 @@
     struct sl_random random = {7};
     fleet.encodes_digests = true;
     bool is_late = false;
+    int answered = 0;
+    fleet.on_reply = [&](uint64_t, int status) {
+        answered += status == 200 ? 1 : 0;
+    };
     fleet.on_call = [&](const FleetCall &call) {
         Engine &engine = engines[std::stoul(call.upstream.substr(1))];
         load.before_read(engine);
@@ -155,7 +169,7 @@
                           "m", part_tokens);
     }
     fleet.advance_ms(3000);
-    EXPECT_EQ(outcome.first_us.size(), (size_t)count);
+    EXPECT_EQ(answered, count);
     std::sort(outcome.first_us.begin(), outcome.first_us.end());
     return outcome;
 }
@@ -215,6 +229,23 @@
     EXPECT_LE((double)sized.p99_us(), 1.2 * (double)plain.p99_us());
 }
 
+// Half of a failure domain's engines end: their parts spread over the others,
+// which aren't overrun.
+TEST(RouterKept, EnginesEnd)
+{
+    Load load;
+    load.at_half = [](std::vector<Engine> &, Fleet &fleet) {
+        fleet.end_upstream("u0");
+        fleet.end_upstream("u3");
+    };
+    Outcome sized = play(load);
+    Outcome plain = play_unsized(load);
+    EXPECT_LT(sized.shared_read_late * 3, plain.shared_read_late * 2);
+    EXPECT_LT(sized.mean_us(), plain.mean_us());
+    EXPECT_LE(sized.p99_us(), plain.p99_us() + 25 * Sl_US_PER_MS);
+    EXPECT_LE((double)sized.busiest(), 1.2 * (double)plain.busiest());
+}
+
 // All engines lose their memory without telling. Their homes read the parts
 // once more.
 TEST(RouterKept, SilentLoss)
