--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -208,9 +208,17 @@
 send_to_domain(struct sl_router *router)
 {
     GPtrArray *recipients = g_ptr_array_new();
+    struct sl_gossip_digest digest = {0};
     add_domain_peers(router, recipients);
     router->domain_recipient_count = recipients->len;
-    send_to_recipients(router, recipients);
+    if (recipients->len > 0) {
+        fill_digest(router, &digest);
+        /* Routers of other domains hardly ever send to the same upstreams. */
+        digest.kept_part_count =
+            SlKept_FillReport(router->kept, router->now_us, digest.kept_parts,
+                              Sl_GOSSIP_MAX_KEPT_PARTS);
+    }
+    SlDigests_Send(router, &digest, recipients);
 }
 
 /* Sends a digest to the routers that get their updates from this one. */
@@ -492,6 +500,7 @@
         SlRollouts_OnReport(router, &digest->vm, &digest->rollouts[i]);
     }
     SlPromptGuard_OnReport(router, &digest->quarantine);
+    SlKeptParts_OnReport(router, digest);
 }
 
 /* ---- members ---- */
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -142,6 +142,7 @@
         (void)SlName_Set(&model, SlRoutedRequest_Model(request));
         SlLatency_LearnPrefill(router, &model, call->uncached_tokens,
                                usual_us);
+        SlKeptParts_OnBegun(router, request, usual_us);
     }
     if (!request->service->is_engine && !call->was_cold) {
         SlLatency_LearnRouteHead(router, &request->route->name, usual_us);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -23,6 +23,7 @@
  * sl_upstream_call.c     sends requests to upstreams
  * sl_placement.c         chooses the upstream for a request
  * sl_engine_rooms.c      the memory of engines as room for requests
+ * sl_kept_parts.c        which upstreams are likely to have kept a prompt
  * sl_rollouts.c          moves a service's traffic to a version
  * sl_rollout_sessions.c  which sessions a roll-out moves first
  * sl_rollout_status.c    writes the state of a roll-out to the store
@@ -47,6 +48,7 @@
 #define Sl_ROUTER_INTERNAL_H
 
 #include "sl_gossip.h"
+#include "sl_kept.h"
 #include "sl_quarantine.h"
 #include "sl_room.h"
 #include "sl_router.h"
@@ -117,10 +119,9 @@
     int64_t peers_in_flight;    /* calls of the peers, by their digests */
     int64_t peers_prefill_backlog_us; /* prefill backlog of the peers */
     struct sl_room *room;             /* in its memory; NULL: not counted */
-    /* What its prefix cache is expected to hold: key -> struct
-     * sl_cached_prefix_part, owned. */
-    GHashTable *cached_prefix_parts;
     struct sl_pace *pace; /* owned */
+    /* What its prefix cache is expected to hold; owned. */
+    struct sl_kept_engine *kept;
 };
 
 /* What an upstream has announced in its responses. */
@@ -135,12 +136,6 @@
     int64_t backoff_until_us; /* it asked for no request until then */
 };
 
-/* A prompt part that an upstream is expected to have in its prefix cache. */
-struct sl_cached_prefix_part {
-    uint64_t key;    /* hash of the part's id and the model */
-    int64_t used_us; /* when a prompt with it was last sent there */
-};
-
 /* ---- latency estimates ---- */
 
 /* Estimates of the time that a model takes until its response begins. */
@@ -348,6 +343,7 @@
                               progress: head, whole event, bytes of a body */
     int64_t next_check_us; /* next time to check it for a stall; 0: at once */
     int64_t expected_us;   /* estimated time to its head, when it was sent */
+    struct sl_kept_estimate kept; /* of its prompt, if it is an engine */
     int64_t uncached_tokens; /* prompt tokens that the upstream is estimated
                                 not to have in its prefix cache */
     int64_t held_tokens;     /* that it may come to hold in the upstream's
@@ -584,6 +580,7 @@
     GArray *broken_calls;      /* struct sl_broken_call, oldest first */
     struct sl_quarantine *quarantine;
     struct sl_engine_rooms *rooms; /* NULL: memory is not counted */
+    struct sl_kept *kept;       /* parts of prompts that engines keep */
     bool has_local_evidence;    /* its announcement also goes to the leaders */
     uint64_t evidence_timer;    /* for the next digest about evidence */
     int64_t stall_check_due_us; /* next time to check a call for a stall */
@@ -616,6 +613,8 @@
     Sl_ROUTER_METRIC_PROMPTS_SUSPECTED,
     Sl_ROUTER_METRIC_PROMPT_BLOCKS,
     Sl_ROUTER_METRIC_PROMPT_TRIALS,
+    Sl_ROUTER_METRIC_KEPT_CALLS,
+    Sl_ROUTER_METRIC_KEPT_TOKENS,
     Sl_ROUTER_METRIC_PROMPT_RELEASES,
     Sl_ROUTER_METRIC_PROMPT_REFUSALS,
     Sl_ROUTER_METRIC_PROMPT_BLOCKS_ACTIVE,
@@ -682,6 +681,16 @@
 void SlRouterMetrics_OnPromptRefused(struct sl_router *router,
                                      const struct sl_name *service);
 void SlRouterMetrics_OnPromptTrial(struct sl_router *router);
+/* Counts a prompt that is sent to an engine whose memory is known: "home",
+ * "held" or "away", and the tokens that are expected to be kept. */
+void SlRouterMetrics_OnKept(struct sl_router *router,
+                            const struct sl_name *service, const char *placed,
+                            int64_t expected_tokens);
+/* Counts tokens that were taken to be kept, and those of them that seem to
+ * have been. */
+void SlRouterMetrics_OnKeptSeen(struct sl_router *router,
+                                const struct sl_name *service,
+                                int64_t judged_tokens, int64_t seen_tokens);
 /* Counts a response that is discarded for low confidence. */
 void SlRouterMetrics_OnLowConfidence(struct sl_router *router,
                                      const struct sl_routed_request *request);
@@ -836,16 +845,12 @@
 int64_t
 SlUpstreams_PrefillBacklogUs(const struct sl_router *router,
                              const struct sl_router_upstream *upstream);
-/* Returns the number of prompt tokens that are not in the upstream's prefix
- * cache, as far as known. */
-int64_t SlUpstreams_UncachedTokens(const struct sl_routed_request *request,
-                                   const struct sl_router_upstream *upstream);
 /* Handles the end of a call's prefill: the head of its response has arrived,
  * or the call has ended without one. */
 void SlUpstreams_OnPrefillDone(struct sl_router *router,
                                struct sl_router_upstream *upstream,
                                struct sl_upstream_call *call);
-/* Removes cached prefix parts and notices that are too old to matter. */
+/* Removes kept parts and notices that are too old to matter. */
 void SlUpstreams_Sweep(struct sl_router *router);
 
 /* ---- notices of upstreams ---- */
@@ -1207,6 +1212,9 @@
     struct sl_router_upstream *roomiest;
     bool exceeds_memory;  /* the request is larger than the memory of all
                              engines that may serve it */
+    struct sl_kept_estimate kept; /* of the prompt at `upstream` */
+    /* Least cost of a home of the prompt; Sl_NEVER_US if there is none. */
+    int64_t home_cost_us;
     bool all_backing_off; /* all upstreams that may serve the request have
                              asked for back-off, so that `wait_us` is
                              certain */
@@ -1265,6 +1273,40 @@
 void SlEngineRooms_OnLeft(struct sl_router *router,
                           const struct sl_routed_request *request);
 
+/* ---- kept parts of prompts ---- */
+
+/* Sets the choice of a request to an engine. `upstreams` are those that can
+ * take it now, struct sl_router_upstream. */
+void SlKeptParts_Prepare(const struct sl_router *router,
+                         const struct sl_routed_request *request,
+                         const GPtrArray *upstreams,
+                         struct sl_kept_choice *choice);
+/* Returns what the engine is expected to have kept of the prompt. */
+struct sl_kept_estimate
+SlKeptParts_Estimate(const struct sl_router *router,
+                     const struct sl_kept_choice *choice,
+                     const struct sl_router_upstream *upstream);
+/* Records that the engine will have kept the prompt, and counts what is
+ * expected. */
+void SlKeptParts_OnCallSent(struct sl_router *router,
+                            struct sl_router_upstream *upstream,
+                            const struct sl_routed_request *request);
+/* Handles the head of a response that took `took_us` at an engine that read no
+ * other prompt. */
+void SlKeptParts_OnBegun(struct sl_router *router,
+                         const struct sl_routed_request *request,
+                         int64_t took_us);
+/* Handles that the engine has ended. */
+void SlKeptParts_OnEnded(struct sl_router *router, const struct sl_name *id);
+/* Handles a peer's report. */
+void SlKeptParts_OnReport(struct sl_router *router,
+                          const struct sl_gossip_digest *digest);
+/* Adds members about the kept parts to the log line of a call that is sent, if
+ * its engine's memory is known. */
+void SlKeptParts_Log(struct sl_router *router,
+                     const struct sl_routed_request *request,
+                     const struct sl_placement *placement);
+
 /* ---- startup queue ---- */
 
 /* Returns true while requests have to be held: the router has no
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -690,6 +690,7 @@
     added.memory_tokens = memory_tokens;
     added.cold_requests_per_s = cold_requests_per_s;
     added.cold_start_us = 20 * Sl_US_PER_S;
+    added.memory_tokens = memory_tokens;
     SlRouting_AddService(record.u.routing, &added, &err);
     struct sl_route route = {};
     std::vector<struct sl_name> names;
