router: fair shares of teams, the estimate of the end, refusals

Cause: one team's burst stood before all others of its priority, and each router's queue knew nothing of the others', so that requests waited for upstreams which could not end them in time.

Change: lib/sharing keeps what teams hold and wait for over the fleet, sorts waiting requests by max-min fairness, and decides whether one is refused. sl_admission_control.c joins it to the queue, if the configuration has teams.

--- /dev/null
+++ b/lib/router/sl_admission_control.c
@@ -0,0 +1,351 @@
+/*
+ * Admission control: the router's side of sl_sharing. While a service has no
+ * room, its waiting requests are ordered by the fair shares of their teams
+ * over the fleet, and those that could not end in time are refused.
+ */
+#include "sl_router_internal.h"
+
+/* Run time of requests to a service without an observation. */
+#define Sl_INITIAL_SLOT_US (50 * Sl_US_PER_MS)
+/* Requests that an upstream takes, in its slots. */
+#define Sl_PLACES_PER_SLOT 2
+
+/* ---- the pass ---- */
+
+/* A service with waiting requests. */
+struct sl_waited_service {
+    const struct sl_name *name;
+    uint32_t key;
+    int64_t count;  /* waiting requests here */
+    int64_t behind; /* those of less urgent priorities */
+    int64_t kept;   /* those that were decided on, and wait on */
+    /* No upstream has room: the answer for all requests that any upstream of
+     * the service may serve. */
+    bool is_full;
+    struct sl_placement full;
+    bool has_share;
+    int64_t share; /* fair share of a team */
+    /* The last answer of SlSharing_PeersAhead(), which is for this team and
+     * level. */
+    bool has_peers_ahead;
+    uint32_t team;
+    int64_t level;
+    int64_t peers_ahead;
+};
+
+struct sl_admission_pass {
+    struct sl_router *router;
+    GPtrArray *waiting; /* struct sl_routed_request, in the order of
+                           `waiters` */
+    struct sl_sharing_waiter *waiters;
+    int64_t *urgent;  /* by waiter: requests to the same service that are as
+                         urgent, this one included, or more */
+    GArray *services; /* struct sl_waited_service */
+};
+
+bool
+SlAdmissionControl_IsOn(const struct sl_router *router)
+{
+    return router->routing != NULL && SlRouting_NeedsKeys(router->routing);
+}
+
+static uint32_t
+key_of(const struct sl_name *name)
+{
+    return SlSharing_Key(SlName_Str(name));
+}
+
+void
+SlAdmissionControl_OnArrival(struct sl_router *router,
+                             struct sl_routed_request *request)
+{
+    request->claim = (struct sl_sharing_claim){
+        .service = key_of(&request->service->name),
+        .team = request->team == NULL ? 0 : key_of(&request->team->name),
+        .route = key_of(&request->route->name),
+        .session = (uint32_t)request->session,
+    };
+    request->tried_us = SlSharing_TriedUs(
+        router->sharing, request->claim.route, request->incoming.deadline_us);
+}
+
+/* Returns the entry of the service; adds it if it is missing. */
+static struct sl_waited_service *
+find_service(struct sl_admission_pass *pass,
+             const struct sl_routed_request *request)
+{
+    for (guint i = 0; i < pass->services->len; i++) {
+        struct sl_waited_service *service =
+            &g_array_index(pass->services, struct sl_waited_service, i);
+        if (service->key == request->claim.service) {
+            return service;
+        }
+    }
+    struct sl_waited_service service = {
+        .name = &request->service->name,
+        .key = request->claim.service,
+    };
+    g_array_append_val(pass->services, service);
+    return &g_array_index(pass->services, struct sl_waited_service,
+                          pass->services->len - 1);
+}
+
+/* Sets `urgent` of the waiters, which are sorted by priority. */
+static void
+count_urgent(struct sl_admission_pass *pass)
+{
+    guint count = pass->waiting->len;
+    for (guint i = 0; i < count; i++) {
+        find_service(pass, pass->waiting->pdata[i])->count++;
+    }
+    for (guint end = count; end > 0;) {
+        guint begin = end;
+        while (begin > 0 && pass->waiters[begin - 1].priority ==
+                                pass->waiters[end - 1].priority) {
+            begin--;
+        }
+        for (guint i = begin; i < end; i++) {
+            const struct sl_waited_service *service =
+                find_service(pass, pass->waiting->pdata[i]);
+            pass->urgent[i] = service->count - service->behind;
+        }
+        for (guint i = begin; i < end; i++) {
+            find_service(pass, pass->waiting->pdata[i])->behind++;
+        }
+        end = begin;
+    }
+}
+
+struct sl_admission_pass *
+SlAdmissionControl_Begin(struct sl_router *router, GPtrArray *waiting)
+{
+    if (!SlAdmissionControl_IsOn(router) || waiting->len == 0) {
+        return NULL;
+    }
+    struct sl_admission_pass *pass = g_new0(struct sl_admission_pass, 1);
+    gpointer *requests =
+        g_memdup2(waiting->pdata, waiting->len * sizeof(*waiting->pdata));
+    SlSharing_Expire(router->sharing, router->now_us,
+                     SlPeers_SilentUs(router));
+    pass->router = router;
+    pass->waiting = waiting;
+    pass->waiters = g_new0(struct sl_sharing_waiter, waiting->len);
+    pass->urgent = g_new0(int64_t, waiting->len);
+    pass->services =
+        g_array_new(FALSE, FALSE, sizeof(struct sl_waited_service));
+    for (guint i = 0; i < waiting->len; i++) {
+        const struct sl_routed_request *request = requests[i];
+        pass->waiters[i] = (struct sl_sharing_waiter){
+            .claim = request->claim,
+            .priority = request->priority,
+            .arrival = request->arrival_number,
+            .has_returned = request->tried_us > 0,
+            .index = i,
+        };
+    }
+    SlSharing_Sort(router->sharing, pass->waiters, waiting->len);
+    for (guint i = 0; i < waiting->len; i++) {
+        waiting->pdata[i] = requests[pass->waiters[i].index];
+    }
+    g_free(requests);
+    count_urgent(pass);
+    return pass;
+}
+
+void
+SlAdmissionControl_End(struct sl_admission_pass *pass)
+{
+    if (pass != NULL) {
+        g_array_free(pass->services, TRUE);
+        g_free(pass->waiters);
+        g_free(pass->urgent);
+        g_free(pass);
+    }
+}
+
+/* ---- decisions ---- */
+
+/* Returns true if the same upstreams may serve the request as any other one to
+ * its service. */
+static bool
+is_unrestricted(struct sl_router *router,
+                const struct sl_routed_request *request)
+{
+    return request->route->region_count == 0 &&
+           (request->team == NULL || request->team->region_count == 0) &&
+           SlRollouts_VersionRule(router, request) == Sl_VERSION_ANY;
+}
+
+struct sl_placement
+SlAdmissionControl_Place(struct sl_admission_pass *pass, size_t index)
+{
+    const struct sl_routed_request *request = pass->waiting->pdata[index];
+    struct sl_waited_service *service = find_service(pass, request);
+    bool unrestricted = is_unrestricted(pass->router, request);
+    if (service->is_full && unrestricted) {
+        return service->full;
+    }
+    struct sl_placement placement = SlPlacement_Choose(pass->router, request);
+    if (unrestricted && placement.upstream == NULL) {
+        service->is_full = true;
+        service->full = placement;
+    }
+    return placement;
+}
+
+/* Returns the number of waiting requests of the fleet that go before this one.
+ * Reports of peers do not tell priorities: the requests there are taken to be
+ * as urgent as those here. */
+static int64_t
+count_ahead(struct sl_admission_pass *pass, struct sl_waited_service *service,
+            size_t index)
+{
+    const struct sl_sharing_waiter *waiter = &pass->waiters[index];
+    if (!service->has_peers_ahead || service->team != waiter->claim.team ||
+        service->level != waiter->level) {
+        service->has_peers_ahead = true;
+        service->team = waiter->claim.team;
+        service->level = waiter->level;
+        service->peers_ahead =
+            SlSharing_PeersAhead(pass->router->sharing, service->key,
+                                 service->team, service->level);
+    }
+    return service->kept +
+           service->peers_ahead * pass->urgent[index] / service->count;
+}
+
+/* Returns true if the team has more than its fair share of the service. */
+static bool
+is_above_share(struct sl_admission_pass *pass,
+               struct sl_waited_service *service, uint32_t team,
+               int64_t usable_slots)
+{
+    const struct sl_sharing *sharing = pass->router->sharing;
+    if (!service->has_share) {
+        service->has_share = true;
+        service->share = SlSharing_FairShare(
+            sharing, service->key, Sl_PLACES_PER_SLOT * usable_slots);
+    }
+    struct sl_sharing_holding holding =
+        SlSharing_Team(sharing, service->key, team);
+    return holding.held + holding.waiting > service->share;
+}
+
+/* Returns the time that the request's client still waits for the response. */
+static int64_t
+client_left_us(const struct sl_router *router,
+               const struct sl_routed_request *request)
+{
+    int64_t deadline_us =
+        request->incoming.deadline_us > 0
+            ? request->arrived_us + request->incoming.deadline_us
+            : request->deadline_us;
+    return deadline_us - router->now_us;
+}
+
+struct sl_admission
+SlAdmissionControl_Decide(struct sl_admission_pass *pass, size_t index,
+                          const struct sl_placement *placement)
+{
+    struct sl_router *router = pass->router;
+    const struct sl_routed_request *request = pass->waiting->pdata[index];
+    struct sl_waited_service *service = find_service(pass, request);
+    int64_t now_us = router->now_us;
+    int64_t objective_us = request->route->target_latency_us;
+    int64_t run_us =
+        SlSharing_RunUs(router->sharing, service->key, Sl_INITIAL_SLOT_US);
+    struct sl_admission_state state = {
+        .has_room = placement->upstream != NULL,
+        .usable_slots = placement->usable_slots,
+        .run_us = run_us,
+        .begin_us =
+            request->service->is_engine ? placement->first_event_us : run_us,
+        .free_us = placement->wait_us,
+        .ahead = count_ahead(pass, service, index),
+        .backlog = SlSharing_Service(router->sharing, service->key).waiting,
+        .upstream_wait_us =
+            request->service->is_engine
+                ? 0
+                : (int64_t)(placement->least_queue * (double)run_us),
+        .objective_left_us = objective_us == 0
+                                 ? Sl_NEVER_US
+                                 : objective_us - request->tried_us -
+                                       (now_us - request->arrived_us),
+        .time_left_us =
+            MIN(request->deadline_us, SlRouter_DrainEndUs(router)) - now_us,
+        .client_left_us = client_left_us(router, request),
+        .runs_once = !request->is_retryable,
+        .is_stream = request->service->is_engine,
+        .spread = (uint32_t)SlHash_Bytes(0, request->incoming.id),
+    };
+    if (!state.has_room && objective_us > 0 && request->possible_runs == 0) {
+        state.is_overload_lasting = SlAdmission_IsOverloadLasting(
+            router->sharing, now_us, &request->claim,
+            SlAdmission_BacklogUs(state.backlog, run_us, state.usable_slots),
+            objective_us);
+        state.is_above_share = is_above_share(
+            pass, service, request->claim.team, state.usable_slots);
+    }
+    return SlAdmission_Decide(&state);
+}
+
+void
+SlAdmissionControl_OnKept(struct sl_admission_pass *pass, size_t index)
+{
+    find_service(pass, pass->waiting->pdata[index])->kept++;
+}
+
+void
+SlAdmissionControl_Log(struct sl_router *router,
+                       const struct sl_routed_request *request,
+                       const struct sl_admission *admission)
+{
+    struct sl_sharing_holding team = SlSharing_Team(
+        router->sharing, request->claim.service, request->claim.team);
+    struct sl_sharing_holding all =
+        SlSharing_Service(router->sharing, request->claim.service);
+    SlLogLine_Int(router, "team_held", team.held);
+    SlLogLine_Int(router, "team_waiting", team.waiting);
+    SlLogLine_Int(router, "fleet_held", all.held);
+    SlLogLine_Int(router, "fleet_waiting", all.waiting);
+    SlLogLine_Int(router, "expected_end_ms", admission->end_us / Sl_US_PER_MS);
+    SlLogLine_Int(router, "tried_ms", request->tried_us / Sl_US_PER_MS);
+    SlLogLine_Int(router, "shares_age_ms",
+                  SlSharing_ReportAgeUs(router->sharing, router->now_us) /
+                      Sl_US_PER_MS);
+}
+
+/* ---- reports ---- */
+
+void
+SlAdmissionControl_OnRan(struct sl_router *router,
+                         const struct sl_routed_request *request)
+{
+    const struct sl_upstream_call *call = &request->upstream_call;
+    SlSharing_OnRan(router->sharing, request->claim.service,
+                    router->now_us - call->sent_us, call->sent_load,
+                    SlPlacement_Slots(call->upstream));
+}
+
+void
+SlAdmissionControl_AddToDigest(const struct sl_router *router,
+                               struct sl_gossip_digest *digest)
+{
+    if (SlAdmissionControl_IsOn(router)) {
+        digest->share_count = SlSharing_FillReport(
+            router->sharing, digest->shares, Sl_GOSSIP_MAX_SHARES);
+    }
+}
+
+void
+SlAdmissionControl_OnDigest(struct sl_router *router,
+                            const struct sl_gossip_digest *digest)
+{
+    if (digest->is_leaving) {
+        SlSharing_OnPeerGone(router->sharing, &digest->vm);
+        return;
+    }
+    SlSharing_OnReport(router->sharing,
+                       router->now_us - digest->age_ms * Sl_US_PER_MS,
+                       &digest->vm, digest->shares, digest->share_count);
+}
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -122,6 +122,7 @@
     SlRollouts_AddToDigest(router, digest);
     SlQuarantine_FillReport(router->quarantine, router->now_us,
                             &digest->quarantine);
+    SlAdmissionControl_AddToDigest(router, digest);
 }
 
 void
@@ -487,6 +488,7 @@
         SlRollouts_OnReport(router, &digest->vm, &digest->rollouts[i]);
     }
     SlPromptGuard_OnReport(router, &digest->quarantine);
+    SlAdmissionControl_OnDigest(router, digest);
 }
 
 /* ---- members ---- */
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -31,13 +31,19 @@
            Sl_MAX_FULL_RATE_PEERS;
 }
 
+int64_t
+SlPeers_SilentUs(const struct sl_router *router)
+{
+    return Sl_PEER_SILENT_INTERVALS * SlPeers_GossipIntervalUs(router);
+}
+
 bool
 SlPeers_IsLive(const struct sl_router *router,
                const struct sl_router_peer *peer)
 {
     return !peer->digest.is_leaving &&
            router->now_us - peer->newest_digest_sent_us <
-               Sl_PEER_SILENT_INTERVALS * SlPeers_GossipIntervalUs(router);
+               SlPeers_SilentUs(router);
 }
 
 bool
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -116,13 +116,26 @@
            matches_version_rule(router, request, upstream, rule);
 }
 
-static int64_t
-slots_of(const struct sl_router_upstream *upstream)
+int64_t
+SlPlacement_Slots(const struct sl_router_upstream *upstream)
 {
     return upstream->registration.slots > 0 ? upstream->registration.slots
                                             : Sl_DEFAULT_SLOTS;
 }
 
+/* Returns the earliest time at which the upstream takes requests, whatever its
+ * load; at most now if it does now. */
+static int64_t
+usable_from_us(const struct sl_router *router,
+               const struct sl_routed_request *request,
+               const struct sl_router_upstream *upstream)
+{
+    int64_t earliest_us =
+        SlColdLimit_NextUs(router, upstream, request->service);
+    earliest_us = MAX(earliest_us, upstream->ejected_until_us);
+    return MAX(earliest_us, upstream->backoff_until_us);
+}
+
 /* Returns the earliest time at which the upstream can take another request; at
  * most now if it can take one now. */
 static int64_t
@@ -130,16 +143,13 @@
                  const struct sl_routed_request *request,
                  const struct sl_router_upstream *upstream)
 {
-    int64_t earliest_us =
-        SlColdLimit_NextUs(router, upstream, request->service);
-    earliest_us = MAX(earliest_us, upstream->ejected_until_us);
-    earliest_us = MAX(earliest_us, upstream->backoff_until_us);
+    int64_t earliest_us = usable_from_us(router, request, upstream);
     if (SlUpstreams_Load(router, upstream) >=
-        Sl_FULL_SLOTS_FACTOR * slots_of(upstream)) {
+        Sl_FULL_SLOTS_FACTOR * SlPlacement_Slots(upstream)) {
         /* Estimated time until one of its requests ends. */
         int64_t until_end_us =
             SlLatency_MeanRunUs(router, &request->service->name) /
-            slots_of(upstream);
+            SlPlacement_Slots(upstream);
         return MAX(earliest_us,
                    router->now_us + MAX(until_end_us, Sl_MIN_FREE_SLOT_US));
     }
@@ -167,7 +177,7 @@
 {
     int64_t load = SlUpstreams_Load(router, upstream);
     if (!request->service->is_engine) {
-        return Sl_FULL_LOAD_US * load / slots_of(upstream);
+        return Sl_FULL_LOAD_US * load / SlPlacement_Slots(upstream);
     }
     struct sl_name model = {0};
     (void)SlName_Set(&model, SlRoutedRequest_Model(request));
@@ -231,6 +241,20 @@
     return cost_us;
 }
 
+/* Counts the slots of an upstream that takes requests. */
+static void
+add_usable(const struct sl_router *router, struct sl_placement *placement,
+           const struct sl_router_upstream *upstream)
+{
+    int64_t slots = SlPlacement_Slots(upstream);
+    int64_t queued = SlUpstreams_Load(router, upstream) - slots;
+    double queue = (double)MAX(queued, 0) / (double)slots;
+    placement->least_queue = placement->usable_slots == 0
+                                 ? queue
+                                 : MIN(placement->least_queue, queue);
+    placement->usable_slots += slots;
+}
+
 /* Makes the upstream the best or second best one, if its cost is less. */
 static void
 update_best(struct sl_placement *placement,
@@ -266,6 +290,9 @@
             continue;
         }
         placement.serving_count++;
+        if (usable_from_us(router, request, upstream) <= router->now_us) {
+            add_usable(router, &placement, upstream);
+        }
         int64_t earliest_us = earliest_send_us(router, request, upstream);
         if (earliest_us > router->now_us) {
             placement.full_count++;
--- a/lib/router/sl_process_pause.c
+++ b/lib/router/sl_process_pause.c
@@ -39,6 +39,7 @@
         struct sl_router_peer *peer = value;
         peer->newest_digest_sent_us += paused_us;
     }
+    SlSharing_OnPause(router->sharing, paused_us);
 }
 
 /* Puts off the stall checks of all calls under way to `until_us`, as responses
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -46,6 +46,7 @@
     g_queue_insert_sorted(router->request_queue, request, compare_urgency,
                           NULL);
     request->queue_link = g_queue_find(router->request_queue, request);
+    SlSharing_OnQueued(router->sharing, &request->claim);
     router->capacity_changed = true;
 }
 
@@ -56,6 +57,7 @@
     if (request->queue_link != NULL) {
         g_queue_delete_link(router->request_queue, request->queue_link);
         request->queue_link = NULL;
+        SlSharing_OnUnqueued(router->sharing, &request->claim);
     }
 }
 
@@ -141,7 +143,8 @@
 static void
 log_no_upstream(struct sl_router *router,
                 const struct sl_routed_request *request,
-                const struct sl_placement *placement, const char *event)
+                const struct sl_placement *placement,
+                const struct sl_admission *admission, const char *event)
 {
     SlLogLine_BeginFor(router, event, request);
     SlLogLine_Int(router, "serving", placement->serving_count);
@@ -153,14 +156,19 @@
     SlLogLine_Int(router, "left_ms",
                   (request->deadline_us - router->now_us) / Sl_US_PER_MS);
     SlLogLine_Int(router, "waiting", (int64_t)router->request_queue->length);
+    if (admission != NULL) {
+        SlAdmissionControl_Log(router, request, admission);
+    }
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
 /* Ends the request with an error response, whose Retry-After is the estimated
- * time until an upstream can take a request. */
+ * time until an upstream can take a request; with `admission`, the one that it
+ * gives. */
 static void
 refuse(struct sl_router *router, struct sl_routed_request *request,
-       const struct sl_placement *placement)
+       const struct sl_placement *placement,
+       const struct sl_admission *admission)
 {
     int64_t wait_us = placement->wait_us;
     int64_t retry_after_us =
@@ -171,11 +179,15 @@
         CLAMP(retry_after_us, Sl_MIN_RETRY_AFTER_US,
               placement->all_backing_off ? Sl_MAX_BACKOFF_RETRY_AFTER_US
                                          : Sl_MAX_RETRY_AFTER_US);
+    if (admission != NULL) {
+        retry_after_us = admission->retry_after_us;
+    }
     bool may_have_run = request->possible_runs > 0;
     const struct sl_router_refusal refusal = {
         .status = may_have_run ? 502 : 503,
         .step = "placement",
         .reason = router->draining         ? "the router is shutting down"
+                  : admission != NULL      ? admission->reason
                   : wait_us == Sl_NEVER_US ? "no upstream can take the request"
                   : placement->all_backing_off
                       ? "the upstreams asked for back-off"
@@ -183,64 +195,127 @@
         .may_have_run = may_have_run,
         .retry_after_us = may_have_run ? 0 : retry_after_us,
     };
-    log_no_upstream(router, request, placement, "unplaced");
+    log_no_upstream(router, request, placement, admission, "unplaced");
     SlRoutedRequest_Fail(router, request, &refusal);
 }
 
+/* Waiting requests of one dispatch. */
+struct sl_queue_dispatch {
+    GPtrArray *waiting; /* a copy of the queue, which changes while requests
+                           are sent and refused */
+    struct sl_admission_pass *pass; /* NULL: no admission control */
+    /* Without `pass`: service -> number of its requests that were seen and
+     * still wait. */
+    GHashTable *ahead_counts;
+    int64_t shortest_wait_us;
+};
+
+/* Decides whether the request, which waits, is refused. Sets `admission` and
+ * returns true for what admission control decides. */
+static bool
+decide_admission(struct sl_queue_dispatch *dispatch, size_t index,
+                 const struct sl_placement *placement,
+                 struct sl_admission *admission)
+{
+    const struct sl_routed_request *request = dispatch->waiting->pdata[index];
+    if (dispatch->pass == NULL || placement->all_backing_off ||
+        (placement->upstream == NULL && placement->wait_us == Sl_NEVER_US) ||
+        (placement->upstream != NULL && request->possible_runs > 0)) {
+        return false;
+    }
+    *admission = SlAdmissionControl_Decide(dispatch->pass, index, placement);
+    return true;
+}
+
+/* Handles that the request waits on. */
+static void
+keep_waiting(struct sl_router *router, struct sl_queue_dispatch *dispatch,
+             size_t index, const struct sl_placement *placement,
+             const struct sl_admission *admission)
+{
+    struct sl_routed_request *request = dispatch->waiting->pdata[index];
+    gpointer key = (gpointer)request->service;
+    size_t ahead_count =
+        GPOINTER_TO_SIZE(g_hash_table_lookup(dispatch->ahead_counts, key));
+    if (request->queued_us == router->now_us) {
+        log_no_upstream(router, request, placement, admission, "queued");
+    }
+    dispatch->shortest_wait_us =
+        MIN(dispatch->shortest_wait_us, placement->wait_us);
+    g_hash_table_insert(dispatch->ahead_counts, key,
+                        GSIZE_TO_POINTER(ahead_count + 1));
+    if (dispatch->pass != NULL) {
+        SlAdmissionControl_OnKept(dispatch->pass, index);
+    }
+}
+
+/* Sends the request, refuses it or lets it wait on. */
+static void
+dispatch_request(struct sl_router *router, struct sl_queue_dispatch *dispatch,
+                 size_t index)
+{
+    struct sl_routed_request *request = dispatch->waiting->pdata[index];
+    struct sl_placement placement =
+        dispatch->pass == NULL
+            ? SlPlacement_Choose(router, request)
+            : SlAdmissionControl_Place(dispatch->pass, index);
+    struct sl_admission admission = {.action = Sl_ADMISSION_ADMIT};
+    size_t ahead_count = GPOINTER_TO_SIZE(
+        g_hash_table_lookup(dispatch->ahead_counts, request->service));
+    if (placement.serving_count > 0) {
+        g_hash_table_remove(router->unserved_since_us,
+                            &request->service->name);
+    }
+    bool is_decided =
+        decide_admission(dispatch, index, &placement, &admission);
+    const struct sl_admission *decided = is_decided ? &admission : NULL;
+    if (placement.upstream != NULL &&
+        would_be_cut(router, request, &placement)) {
+        refuse(router, request, &placement, NULL);
+    }
+    else if (admission.action == Sl_ADMISSION_REFUSE) {
+        refuse(router, request, &placement, decided);
+    }
+    else if (placement.upstream != NULL) {
+        SlRequestQueue_Remove(router, request);
+        SlUpstreamCall_Send(router, request, &placement);
+    }
+    else if (!is_decided &&
+             decide_refusal(router, request, placement.wait_us, ahead_count)) {
+        refuse(router, request, &placement, NULL);
+    }
+    else {
+        keep_waiting(router, dispatch, index, &placement, decided);
+    }
+}
+
 void
 SlRequestQueue_Dispatch(struct sl_router *router)
 {
-    int64_t shortest_wait_us = Sl_NEVER_US;
     router->capacity_changed = false;
     if (SlFeeds_IsRefreshing(router)) {
         redispatch_after(router, router->refresh_until_us - router->now_us);
         return;
     }
-    /* A copy of the queue, which changes while requests are sent and
-     * refused. */
-    GPtrArray *waiting = g_ptr_array_new();
-    /* Service -> number of its requests that were seen and still wait. */
-    GHashTable *ahead_counts = g_hash_table_new(NULL, NULL);
+    struct sl_queue_dispatch dispatch = {
+        .waiting = g_ptr_array_new(),
+        .ahead_counts = g_hash_table_new(NULL, NULL),
+        .shortest_wait_us = Sl_NEVER_US,
+    };
     for (GList *at = router->request_queue->head; at != NULL; at = at->next) {
-        g_ptr_array_add(waiting, at->data);
+        g_ptr_array_add(dispatch.waiting, at->data);
     }
-    for (guint i = 0; i < waiting->len; i++) {
-        struct sl_routed_request *request = waiting->pdata[i];
-        if (SlPromptGuard_Decide(router, request) != Sl_PROMPT_ADMITTED) {
-            continue;
-        }
-        gpointer key = (gpointer)request->service;
-        size_t ahead_count =
-            GPOINTER_TO_SIZE(g_hash_table_lookup(ahead_counts, key));
-        struct sl_placement placement = SlPlacement_Choose(router, request);
-        if (placement.serving_count > 0) {
-            g_hash_table_remove(router->unserved_since_us,
-                                &request->service->name);
-        }
-        if (placement.upstream != NULL &&
-            would_be_cut(router, request, &placement)) {
-            refuse(router, request, &placement);
-        }
-        else if (placement.upstream != NULL) {
-            SlRequestQueue_Remove(router, request);
-            SlUpstreamCall_Send(router, request, &placement);
-        }
-        else if (decide_refusal(router, request, placement.wait_us,
-                                ahead_count)) {
-            refuse(router, request, &placement);
-        }
-        else {
-            if (request->queued_us == router->now_us) {
-                log_no_upstream(router, request, &placement, "queued");
-            }
-            shortest_wait_us = MIN(shortest_wait_us, placement.wait_us);
-            g_hash_table_insert(ahead_counts, key,
-                                GSIZE_TO_POINTER(ahead_count + 1));
+    dispatch.pass = SlAdmissionControl_Begin(router, dispatch.waiting);
+    for (guint i = 0; i < dispatch.waiting->len; i++) {
+        if (SlPromptGuard_Decide(router, dispatch.waiting->pdata[i]) ==
+            Sl_PROMPT_ADMITTED) {
+            dispatch_request(router, &dispatch, i);
         }
     }
-    g_hash_table_destroy(ahead_counts);
-    g_ptr_array_free(waiting, TRUE);
+    SlAdmissionControl_End(dispatch.pass);
+    g_hash_table_destroy(dispatch.ahead_counts);
+    g_ptr_array_free(dispatch.waiting, TRUE);
     if (router->request_queue->length > 0) {
-        redispatch_after(router, shortest_wait_us);
+        redispatch_after(router, dispatch.shortest_wait_us);
     }
 }
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -557,6 +557,7 @@
                               request->service->cold_start_us);
         SlLatency_LearnRun(router, &request->service->name,
                            router->now_us - request->upstream_call.sent_us);
+        SlAdmissionControl_OnRan(router, request);
         note_begun(router, request, true);
         SlUpstreamCall_Detach(router, request);
         finish(router, request);
--- a/lib/router/sl_routed_request.c
+++ b/lib/router/sl_routed_request.c
@@ -484,6 +484,7 @@
     SlBuf_Append(&request->last_event, incoming->last_event);
     request->escalated_confidence = -1; /* no response was discarded yet */
     SlPromptGuard_SetKeys(request);
+    SlAdmissionControl_OnArrival(router, request);
     g_hash_table_insert(router->routed_requests, &request->conn, request);
     request->deadline_timer =
         SlTimers_Add(router->timers, request->deadline_us, on_deadline, router,
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -61,6 +61,7 @@
     router->broken_calls =
         g_array_new(FALSE, FALSE, sizeof(struct sl_broken_call));
     router->quarantine = SlQuarantine_New();
+    router->sharing = SlSharing_New();
     router->deferred_frees = g_ptr_array_new_with_free_func(free_request);
     return router;
 }
@@ -87,6 +88,7 @@
     g_hash_table_destroy(router->health_checks);
     g_array_free(router->broken_calls, TRUE);
     SlQuarantine_Free(router->quarantine);
+    SlSharing_Free(router->sharing);
     g_hash_table_destroy(router->requests_by_token);
     g_hash_table_destroy(router->routed_requests);
     g_ptr_array_free(router->deferred_frees, TRUE);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -20,6 +20,7 @@
  * sl_prompt_guard.c      refuses requests whose prompts end engines
  * sl_routed_request.c    a request from its arrival to its end
  * sl_request_queue.c     requests that wait for an upstream
+ * sl_admission_control.c fair shares of teams, the estimate of the end
  * sl_upstream_call.c     sends requests to upstreams
  * sl_placement.c         chooses the upstream for a request
  * sl_rollouts.c          moves a service's traffic to a version
@@ -47,6 +48,7 @@
 #include "sl_gossip.h"
 #include "sl_quarantine.h"
 #include "sl_router.h"
+#include "sl_sharing.h"
 #include "sl_stall_policy.h"
 
 #include <assert.h>
@@ -339,6 +341,7 @@
     uint64_t token; /* 0: no call is under way */
     struct sl_router_upstream *upstream;
     int64_t sent_us;
+    int64_t sent_load;     /* requests at the upstream then, with this one */
     int64_t progress_us;   /* when it was sent, or its response last made
                               progress: head, whole event, bytes of a body */
     int64_t next_check_us; /* next time to check it for a stall; 0: at once */
@@ -394,9 +397,12 @@
     uint64_t arrival_number; /* grows from one request to the next */
     int64_t queued_us;       /* when it last began to wait for an upstream */
     int64_t arrived_us;
-    int64_t deadline_us;    /* when the request must have ended */
-    int64_t priority;       /* 0 is the most urgent */
-    uint64_t session;       /* hash of the session; 0: none */
+    int64_t deadline_us;           /* when the request must have ended */
+    int64_t priority;              /* 0 is the most urgent */
+    uint64_t session;              /* hash of the session; 0: none */
+    struct sl_sharing_claim claim; /* whom it counts for in the shares */
+    int64_t tried_us; /* for how long its client has tried before; 0: this is
+                         the first attempt */
     uint64_t prompt_prefix; /* equal if prompts begin alike; 0: no prompt */
     size_t model;           /* index in the route's models */
     size_t escalated_model; /* index of the model whose response was discarded
@@ -571,6 +577,7 @@
     GHashTable *health_checks; /* token -> id of the upstream, both owned */
     GArray *broken_calls;      /* struct sl_broken_call, oldest first */
     struct sl_quarantine *quarantine;
+    struct sl_sharing *sharing;
     bool has_local_evidence;    /* its announcement also goes to the leaders */
     uint64_t evidence_timer;    /* for the next digest about evidence */
     int64_t stall_check_due_us; /* next time to check a call for a stall */
@@ -963,6 +970,8 @@
 void SlPeers_SumLoads(struct sl_router *router);
 /* Returns the time in us between two digests to the whole fleet. */
 int64_t SlPeers_GossipIntervalUs(const struct sl_router *router);
+/* Returns the time without a digest after which a peer is no longer live. */
+int64_t SlPeers_SilentUs(const struct sl_router *router);
 /* Logs the peers that are no longer live, and removes those that have been
  * silent for more than 60 s. */
 void SlPeers_ExpireSilent(struct sl_router *router);
@@ -1139,6 +1148,10 @@
     unsigned full_count;    /* those of them that cannot take it now */
     int64_t wait_us; /* estimated time until one of the full ones can take the
                         request; Sl_NEVER_US if there is none */
+    /* Slots of those that do not refuse for another reason than their load,
+     * and the least queue of one, in its slots. */
+    int64_t usable_slots;
+    double least_queue;
     bool all_backing_off; /* all upstreams that may serve the request have
                              asked for back-off, so that `wait_us` is
                              certain */
@@ -1150,6 +1163,48 @@
 SlPlacement_Choose(struct sl_router *router,
                    const struct sl_routed_request *request);
 
+/* Returns the slots of the upstream. */
+int64_t SlPlacement_Slots(const struct sl_router_upstream *upstream);
+
+/* ---- admission control ---- */
+
+/* Decides about the requests that wait, in one dispatch of the queue. */
+struct sl_admission_pass;
+
+/* Returns true if the configuration has teams, which share the upstreams. */
+bool SlAdmissionControl_IsOn(const struct sl_router *router);
+/* Sets whom the request counts for. */
+void SlAdmissionControl_OnArrival(struct sl_router *router,
+                                  struct sl_routed_request *request);
+/* Sorts the waiting requests by fair shares. Returns NULL, and does nothing,
+ * if it is off. The caller ends the pass with SlAdmissionControl_End(), which
+ * accepts NULL. */
+struct sl_admission_pass *SlAdmissionControl_Begin(struct sl_router *router,
+                                                   GPtrArray *waiting);
+void SlAdmissionControl_End(struct sl_admission_pass *pass);
+/* Chooses the upstream for the waiting request of this index. */
+struct sl_placement SlAdmissionControl_Place(struct sl_admission_pass *pass,
+                                             size_t index);
+/* Decides whether that request is refused; if not, it is sent or waits on. */
+struct sl_admission
+SlAdmissionControl_Decide(struct sl_admission_pass *pass, size_t index,
+                          const struct sl_placement *placement);
+/* Handles that the request waits on: it goes before those that follow. */
+void SlAdmissionControl_OnKept(struct sl_admission_pass *pass, size_t index);
+/* Adds what decided about the request to the current log line. */
+void SlAdmissionControl_Log(struct sl_router *router,
+                            const struct sl_routed_request *request,
+                            const struct sl_admission *admission);
+/* Handles that the request's call has run to its end. */
+void SlAdmissionControl_OnRan(struct sl_router *router,
+                              const struct sl_routed_request *request);
+/* Adds what the teams have through this router to the digest. */
+void SlAdmissionControl_AddToDigest(const struct sl_router *router,
+                                    struct sl_gossip_digest *digest);
+/* Handles a peer's digest. */
+void SlAdmissionControl_OnDigest(struct sl_router *router,
+                                 const struct sl_gossip_digest *digest);
+
 /* ---- startup queue ---- */
 
 /* Returns true while requests have to be held: the router has no
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -81,6 +81,8 @@
     g_hash_table_insert(router->requests_by_token, &call->token, request);
     SlRollouts_OnCallSent(router, request, upstream);
     SlUpstreams_OnCallSent(router, upstream, request); /* sets estimates */
+    call->sent_load = SlUpstreams_Load(router, upstream);
+    SlSharing_OnSent(router->sharing, &request->claim);
     SlStallMonitor_Watch(router, request);
 
     struct sl_router_effect *effect =
@@ -120,6 +122,7 @@
     router->buffered_bytes -= call->buffered_bytes;
     call->buffered_bytes = 0;
     SlRollouts_OnCallEnded(router, request);
+    SlSharing_OnEnded(router->sharing, &request->claim);
     SlUpstreams_OnCallEnded(router, call->upstream, call);
     call->upstream = NULL;
 }
--- a/lib/sharing/sl_sharing.h
+++ b/lib/sharing/sl_sharing.h
@@ -62,18 +62,27 @@
 void SlSharing_OnEnded(struct sl_sharing *sharing,
                        const struct sl_sharing_claim *claim);
 
-/* What a team holds and waits for. */
+/* What a team, or all teams, have of a service. */
 struct sl_sharing_holding {
-    int64_t held;    /* requests at upstreams, of the whole fleet */
-    int64_t waiting; /* requests in queues, of the whole fleet */
-    int64_t age_us;  /* of the oldest report that counts; 0: none does */
+    int64_t held;          /* requests at upstreams, of the whole fleet */
+    int64_t waiting;       /* requests in queues, of the whole fleet */
+    int64_t peers_waiting; /* those of them in the queues of peers */
 };
 
 struct sl_sharing_holding SlSharing_Team(const struct sl_sharing *sharing,
-                                         int64_t now_us, uint32_t service,
-                                         uint32_t team);
+                                         uint32_t service, uint32_t team);
 struct sl_sharing_holding SlSharing_Service(const struct sl_sharing *sharing,
-                                            int64_t now_us, uint32_t service);
+                                            uint32_t service);
+
+/* Handles that a request ran to its end. It took `took_us` at an upstream with
+ * this many slots, which had `load` requests, this one included, when it was
+ * sent. */
+void SlSharing_OnRan(struct sl_sharing *sharing, uint32_t service,
+                     int64_t took_us, int64_t load, int64_t slots);
+/* Returns the mean time for which a request occupies a slot; `initial_us` if
+ * none has ended yet. */
+int64_t SlSharing_RunUs(const struct sl_sharing *sharing, uint32_t service,
+                        int64_t initial_us);
 
 /* ---- 3. Order --------------------------------------------------------- */
 
@@ -82,48 +91,84 @@
     struct sl_sharing_claim claim;
     int64_t priority;  /* 0 is the most urgent */
     uint64_t arrival;  /* grows from one request to the next */
-    int64_t latest_us; /* the request must have begun by then to be in time */
-    bool has_returned; /* its client has used part of its time elsewhere: it
-                          was refused before */
-    size_t index;      /* the caller's */
+    bool has_returned; /* it was refused before, and goes before new requests
+                          of its team */
+    /* Set by SlSharing_Sort(): requests that its team holds, together with
+     * those of the team that are sorted before it. */
+    int64_t level;
+    size_t index; /* the caller's */
 };
 
 /* Sorts the waiters: by priority, then the one whose team, route and session
- * hold the least first, counting those that are sorted before it as held. */
-void SlSharing_Sort(const struct sl_sharing *sharing, int64_t now_us,
+ * hold the least first, counting those that are sorted before it as held. What
+ * teams hold is that of the fleet, what routes and sessions hold that of this
+ * router. */
+void SlSharing_Sort(const struct sl_sharing *sharing,
                     struct sl_sharing_waiter *waiters, size_t count);
+/* Returns the number of requests in the queues of peers that go before a
+ * request of the team with this `level`. */
+int64_t SlSharing_PeersAhead(const struct sl_sharing *sharing,
+                             uint32_t service, uint32_t team, int64_t level);
+/* Returns the fair share of a team in `room`, a number of requests: teams that
+ * want less get what they want, and the others the same. INT64_MAX: there is
+ * room for all. */
+int64_t SlSharing_FairShare(const struct sl_sharing *sharing, uint32_t service,
+                            int64_t room);
+
+/* When requests come back after a refusal, their deadlines are shorter than
+ * usual. Learns from the client's deadline of a request, and returns for how
+ * long its client has tried before; 0: it is the first attempt. */
+int64_t SlSharing_TriedUs(struct sl_sharing *sharing, uint32_t route,
+                          int64_t deadline_us);
 
 /* ---- 4. Admission ----------------------------------------------------- */
 
 /* What a request meets at its service. */
 struct sl_admission_state {
+    bool has_room;        /* an upstream can take it now */
     int64_t usable_slots; /* of all upstreams that may take the request */
-    int64_t run_us;       /* mean run time */
-    int64_t ahead;        /* requests in the fleet's queues that go before */
+    int64_t run_us;       /* mean time for which a request has a slot */
+    int64_t begin_us;     /* from the start of a run to the response */
+    int64_t free_us;      /* until an upstream can take a request */
+    int64_t ahead;        /* requests in the fleet's queues that go first */
+    int64_t backlog;      /* requests in the fleet's queues */
     int64_t upstream_wait_us;  /* least wait in an upstream's own queue */
     int64_t objective_left_us; /* until the response should have begun;
                                   Sl_NEVER_US: no objective */
-    int64_t time_left_us;      /* until the deadline, or the route's timeout */
-    bool may_run_once;         /* the request must not run more than once */
-    bool has_returned;
+    int64_t time_left_us;      /* until the request must have ended */
+    int64_t client_left_us;    /* until its client gives up */
+    bool runs_once;            /* the request must not run more than once */
+    bool is_stream;            /* its response is of use as it arrives */
+    bool is_above_share;       /* its team has more than its fair share */
+    bool is_overload_lasting;  /* the backlog has been longer than the
+                                  objective for a while */
     uint32_t spread; /* hash of the request, which spreads Retry-After */
 };
 
 enum sl_admission_action {
-    Sl_ADMISSION_SEND, /* if an upstream has room, else wait */
+    Sl_ADMISSION_ADMIT, /* it is sent if an upstream has room, else waits */
     Sl_ADMISSION_REFUSE,
 };
 
 struct sl_admission {
     enum sl_admission_action action;
     const char *reason;     /* REFUSE: a sentence for people, static */
-    int64_t wait_us;        /* expected, here and there */
+    int64_t wait_us;        /* expected, here and in the upstream's queue */
     int64_t end_us;         /* expected time from now to the end */
     int64_t retry_after_us; /* REFUSE */
 };
 
 /* Decides about a request that waits, or is about to be sent. */
 struct sl_admission SlAdmission_Decide(const struct sl_admission_state *state);
+/* Returns the time that a backlog of this many requests takes to clear. */
+int64_t SlAdmission_BacklogUs(int64_t backlog, int64_t run_us,
+                              int64_t usable_slots);
+/* Records how long the backlog is that requests of a route meet now, and
+ * returns true if it has been longer than the objective for as long as the
+ * objective. */
+bool SlAdmission_IsOverloadLasting(struct sl_sharing *sharing, int64_t now_us,
+                                   const struct sl_sharing_claim *claim,
+                                   int64_t backlog_us, int64_t objective_us);
 
 /* ---- 5. Reports ------------------------------------------------------- */
 
@@ -135,8 +180,19 @@
 void SlSharing_OnReport(struct sl_sharing *sharing, int64_t sent_us,
                         const struct sl_name *peer,
                         const struct sl_gossip_share *shares, size_t count);
-/* Forgets a peer, which has left or is no longer live. */
+/* Forgets a peer, which has left. */
 void SlSharing_OnPeerGone(struct sl_sharing *sharing,
                           const struct sl_name *peer);
+/* Forgets reports that were sent more than `max_age_us` ago: what they tell
+ * has ended since, or the peer is no longer there. */
+void SlSharing_Expire(struct sl_sharing *sharing, int64_t now_us,
+                      int64_t max_age_us);
+/* Handles that this process was paused and could hear nobody: reports age by
+ * that much less. */
+void SlSharing_OnPause(struct sl_sharing *sharing, int64_t paused_us);
+/* Returns the age of the oldest report that counts; 0: none does. */
+int64_t SlSharing_ReportAgeUs(const struct sl_sharing *sharing,
+                              int64_t now_us);
+size_t SlSharing_PeerCount(const struct sl_sharing *sharing);
 
 #endif
