sharing: routers send at a pace while teams compete for a service

Cause: loads of upstreams are known with the age of the digests. 24 routers that saw the same free place all took it: 85 requests stood at 36 places, 994 of 7,366 were rejected by full upstreams, and those that waited there were late.

Change: SlSharing_Allot() gives each router its part of the service's pace, by what its teams want and their fair shares. Requests that wait count against the pace of this router, instead of the requests of the other queues. An overload ends when the backlog is a quarter of the objective.

--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -7,30 +7,19 @@
 
 /* Run time of requests to a service without an observation. */
 #define Sl_INITIAL_SLOT_US (50 * Sl_US_PER_MS)
-/* Requests that an upstream takes, in its slots. */
-#define Sl_PLACES_PER_SLOT 2
-
 /* ---- the pass ---- */
 
 /* A service with waiting requests. */
 struct sl_waited_service {
     const struct sl_name *name;
     uint32_t key;
-    int64_t count;  /* waiting requests here */
-    int64_t behind; /* those of less urgent priorities */
-    int64_t kept;   /* those that were decided on, and wait on */
+    int64_t kept; /* waiting requests that were decided on, and wait on */
     /* No upstream has room: the answer for all requests that any upstream of
      * the service may serve. */
     bool is_full;
     struct sl_placement full;
-    bool has_share;
-    int64_t share; /* fair share of a team */
-    /* The last answer of SlSharing_PeersAhead(), which is for this team and
-     * level. */
-    bool has_peers_ahead;
-    uint32_t team;
-    int64_t level;
-    int64_t peers_ahead;
+    int64_t interval_us; /* between two requests that are sent */
+    int64_t share;       /* fair share of a team */
 };
 
 struct sl_admission_pass {
@@ -38,8 +27,6 @@
     GPtrArray *waiting; /* struct sl_routed_request, in the order of
                            `waiters` */
     struct sl_sharing_waiter *waiters;
-    int64_t *urgent;  /* by waiter: requests to the same service that are as
-                         urgent, this one included, or more */
     GArray *services; /* struct sl_waited_service */
 };
 
@@ -90,32 +77,6 @@
                           pass->services->len - 1);
 }
 
-/* Sets `urgent` of the waiters, which are sorted by priority. */
-static void
-count_urgent(struct sl_admission_pass *pass)
-{
-    guint count = pass->waiting->len;
-    for (guint i = 0; i < count; i++) {
-        find_service(pass, pass->waiting->pdata[i])->count++;
-    }
-    for (guint end = count; end > 0;) {
-        guint begin = end;
-        while (begin > 0 && pass->waiters[begin - 1].priority ==
-                                pass->waiters[end - 1].priority) {
-            begin--;
-        }
-        for (guint i = begin; i < end; i++) {
-            const struct sl_waited_service *service =
-                find_service(pass, pass->waiting->pdata[i]);
-            pass->urgent[i] = service->count - service->behind;
-        }
-        for (guint i = begin; i < end; i++) {
-            find_service(pass, pass->waiting->pdata[i])->behind++;
-        }
-        end = begin;
-    }
-}
-
 struct sl_admission_pass *
 SlAdmissionControl_Begin(struct sl_router *router, GPtrArray *waiting)
 {
@@ -130,7 +91,6 @@
     pass->router = router;
     pass->waiting = waiting;
     pass->waiters = g_new0(struct sl_sharing_waiter, waiting->len);
-    pass->urgent = g_new0(int64_t, waiting->len);
     pass->services =
         g_array_new(FALSE, FALSE, sizeof(struct sl_waited_service));
     for (guint i = 0; i < waiting->len; i++) {
@@ -148,7 +108,6 @@
         waiting->pdata[i] = requests[pass->waiters[i].index];
     }
     g_free(requests);
-    count_urgent(pass);
     return pass;
 }
 
@@ -158,7 +117,6 @@
     if (pass != NULL) {
         g_array_free(pass->services, TRUE);
         g_free(pass->waiters);
-        g_free(pass->urgent);
         g_free(pass);
     }
 }
@@ -176,6 +134,26 @@
            SlRollouts_VersionRule(router, request) == Sl_VERSION_ANY;
 }
 
+/* Sets the pace at which this router may send to the service. Under
+ * contention, and if it has sent its part, no upstream takes another request
+ * now. */
+static void
+apply_allotment(struct sl_admission_pass *pass,
+                struct sl_waited_service *service,
+                struct sl_placement *placement)
+{
+    struct sl_sharing *sharing = pass->router->sharing;
+    struct sl_sharing_allotment allotment = SlSharing_Allot(
+        sharing, pass->router->now_us, service->key, placement->usable_slots,
+        SlSharing_RunUs(sharing, service->key, Sl_INITIAL_SLOT_US));
+    service->interval_us = allotment.interval_us;
+    service->share = allotment.share;
+    if (placement->upstream != NULL && allotment.free_us > 0) {
+        placement->upstream = NULL;
+        placement->wait_us = allotment.free_us;
+    }
+}
+
 struct sl_placement
 SlAdmissionControl_Place(struct sl_admission_pass *pass, size_t index)
 {
@@ -186,6 +164,7 @@
         return service->full;
     }
     struct sl_placement placement = SlPlacement_Choose(pass->router, request);
+    apply_allotment(pass, service, &placement);
     if (unrestricted && placement.upstream == NULL) {
         service->is_full = true;
         service->full = placement;
@@ -193,41 +172,13 @@
     return placement;
 }
 
-/* Returns the number of waiting requests of the fleet that go before this one.
- * Reports of peers do not tell priorities: the requests there are taken to be
- * as urgent as those here. */
-static int64_t
-count_ahead(struct sl_admission_pass *pass, struct sl_waited_service *service,
-            size_t index)
-{
-    const struct sl_sharing_waiter *waiter = &pass->waiters[index];
-    if (!service->has_peers_ahead || service->team != waiter->claim.team ||
-        service->level != waiter->level) {
-        service->has_peers_ahead = true;
-        service->team = waiter->claim.team;
-        service->level = waiter->level;
-        service->peers_ahead =
-            SlSharing_PeersAhead(pass->router->sharing, service->key,
-                                 service->team, service->level);
-    }
-    return service->kept +
-           service->peers_ahead * pass->urgent[index] / service->count;
-}
-
 /* Returns true if the team has more than its fair share of the service. */
 static bool
-is_above_share(struct sl_admission_pass *pass,
-               struct sl_waited_service *service, uint32_t team,
-               int64_t usable_slots)
+is_above_share(const struct sl_admission_pass *pass,
+               const struct sl_waited_service *service, uint32_t team)
 {
-    const struct sl_sharing *sharing = pass->router->sharing;
-    if (!service->has_share) {
-        service->has_share = true;
-        service->share = SlSharing_FairShare(
-            sharing, service->key, Sl_PLACES_PER_SLOT * usable_slots);
-    }
     struct sl_sharing_holding holding =
-        SlSharing_Team(sharing, service->key, team);
+        SlSharing_Team(pass->router->sharing, service->key, team);
     return holding.held + holding.waiting > service->share;
 }
 
@@ -261,7 +212,8 @@
         .begin_us =
             request->service->is_engine ? placement->first_event_us : run_us,
         .free_us = placement->wait_us,
-        .ahead = count_ahead(pass, service, index),
+        .ahead = service->kept,
+        .interval_us = service->interval_us,
         .backlog = SlSharing_Service(router->sharing, service->key).waiting,
         .upstream_wait_us =
             request->service->is_engine
@@ -283,8 +235,8 @@
             router->sharing, now_us, &request->claim,
             SlAdmission_BacklogUs(state.backlog, run_us, state.usable_slots),
             objective_us);
-        state.is_above_share = is_above_share(
-            pass, service, request->claim.team, state.usable_slots);
+        state.is_above_share =
+            is_above_share(pass, service, request->claim.team);
     }
     return SlAdmission_Decide(&state);
 }
--- a/lib/sharing/sl_admission.c
+++ b/lib/sharing/sl_admission.c
@@ -20,6 +20,10 @@
  * elsewhere when it is cut. */
 #define Sl_REPEATABLE_RUN_PARTS 2
 
+/* An overload ends when the backlog is shorter than this part of the
+ * objective: what refusals have made shorter would grow again at once. */
+#define Sl_CLEARED_PARTS 4
+
 int64_t
 SlAdmission_BacklogUs(int64_t backlog, int64_t run_us, int64_t usable_slots)
 {
@@ -38,9 +42,7 @@
          * one will. */
         return state->free_us * (state->ahead + 1);
     }
-    return MAX(state->free_us,
-               SlAdmission_BacklogUs(state->ahead + 1, state->run_us,
-                                     state->usable_slots));
+    return MAX(state->free_us, state->interval_us * (state->ahead + 1));
 }
 
 /* Returns the Retry-After: clients come back over the second half of the time
@@ -104,7 +106,8 @@
         (uint64_t)claim->service << 32 | (uint64_t)claim->route));
     struct sl_sharing_backlog *backlog =
         g_hash_table_lookup(sharing->backlogs, key);
-    if (backlog_us <= objective_us) {
+    if (backlog_us <=
+        (backlog == NULL ? objective_us : objective_us / Sl_CLEARED_PARTS)) {
         g_hash_table_remove(sharing->backlogs, key);
         return false;
     }
--- a/lib/sharing/sl_sharing.c
+++ b/lib/sharing/sl_sharing.c
@@ -47,6 +47,7 @@
     sharing->oldest_us = Sl_NEVER_US;
     sharing->run_us = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     sharing->usual_deadlines = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    sharing->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     sharing->backlogs = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return sharing;
 }
@@ -63,6 +64,7 @@
     g_hash_table_destroy(sharing->run_us);
     g_hash_table_destroy(sharing->usual_deadlines);
     g_hash_table_destroy(sharing->backlogs);
+    g_hash_table_destroy(sharing->buckets);
     g_free(sharing);
 }
 
@@ -189,6 +191,7 @@
                  const struct sl_sharing_claim *claim)
 {
     change_claim(sharing, claim, 1, 0);
+    SlSharing_TakeToken(sharing, claim->service);
 }
 
 void
@@ -226,7 +229,6 @@
     const struct sl_sharing_holding holding = {
         .held = count == NULL ? 0 : count->held + count->peers_held,
         .waiting = count == NULL ? 0 : count->waiting + count->peers_waiting,
-        .peers_waiting = count == NULL ? 0 : count->peers_waiting,
     };
     return count == NULL ? none : holding;
 }
--- a/lib/sharing/sl_sharing.h
+++ b/lib/sharing/sl_sharing.h
@@ -64,9 +64,8 @@
 
 /* What a team, or all teams, have of a service. */
 struct sl_sharing_holding {
-    int64_t held;          /* requests at upstreams, of the whole fleet */
-    int64_t waiting;       /* requests in queues, of the whole fleet */
-    int64_t peers_waiting; /* those of them in the queues of peers */
+    int64_t held;    /* requests at upstreams, of the whole fleet */
+    int64_t waiting; /* requests in queues, of the whole fleet */
 };
 
 struct sl_sharing_holding SlSharing_Team(const struct sl_sharing *sharing,
@@ -105,16 +104,32 @@
  * router. */
 void SlSharing_Sort(const struct sl_sharing *sharing,
                     struct sl_sharing_waiter *waiters, size_t count);
-/* Returns the number of requests in the queues of peers that go before a
- * request of the team with this `level`. */
-int64_t SlSharing_PeersAhead(const struct sl_sharing *sharing,
-                             uint32_t service, uint32_t team, int64_t level);
 /* Returns the fair share of a team in `room`, a number of requests: teams that
  * want less get what they want, and the others the same. INT64_MAX: there is
  * room for all. */
 int64_t SlSharing_FairShare(const struct sl_sharing *sharing, uint32_t service,
                             int64_t room);
 
+/* What this router may send to a service. */
+struct sl_sharing_allotment {
+    bool is_contended; /* the fleet wants more than the service has room for;
+                          without, the others do not count */
+    int64_t share; /* fair share of a team, in requests; INT64_MAX: there is
+                      room for all */
+    int64_t interval_us; /* mean time between two requests of this router */
+    int64_t free_us;     /* until the next one; 0: now */
+};
+
+/* Returns this router's allotment. While the teams want more than the slots
+ * and a short queue at each upstream hold, each router sends at a pace: the
+ * shares of its teams, in proportion to what they want through it. The paces
+ * of all routers together are that of the service, however old the reports
+ * are that say how much room there is. */
+struct sl_sharing_allotment SlSharing_Allot(struct sl_sharing *sharing,
+                                            int64_t now_us, uint32_t service,
+                                            int64_t usable_slots,
+                                            int64_t run_us);
+
 /* When requests come back after a refusal, their deadlines are shorter than
  * usual. Learns from the client's deadline of a request, and returns for how
  * long its client has tried before; 0: it is the first attempt. */
@@ -130,7 +145,8 @@
     int64_t run_us;       /* mean time for which a request has a slot */
     int64_t begin_us;     /* from the start of a run to the response */
     int64_t free_us;      /* until an upstream can take a request */
-    int64_t ahead;        /* requests in the fleet's queues that go first */
+    int64_t ahead;        /* requests in this router's queue that go first */
+    int64_t interval_us;  /* time between two requests that are sent */
     int64_t backlog;      /* requests in the fleet's queues */
     int64_t upstream_wait_us;  /* least wait in an upstream's own queue */
     int64_t objective_left_us; /* until the response should have begun;
--- /dev/null
+++ b/lib/sharing/sl_sharing_allot.c
@@ -0,0 +1,98 @@
+/*
+ * What this router may send to a service.
+ *
+ * The load of an upstream is known with the age of the digests. Routers that
+ * all see the same free place all take it, and the upstreams get more than
+ * they hold. A pace does not have this fault: it follows from what the teams
+ * want, which changes more slowly than what is free at each moment.
+ */
+#include "sl_sharing_internal.h"
+
+/* Requests that upstreams should hold under contention, in slots: the next one
+ * is there when a run ends, and none waits there for long. */
+#define Sl_HELD_PER_SLOT 1.5
+/* Bounds of the correction of the pace, while upstreams hold more or less than
+ * that. */
+#define Sl_MIN_CORRECTION 0.5
+#define Sl_MAX_CORRECTION 1.5
+/* Time for which unused tokens are kept. */
+#define Sl_BURST_US (20 * Sl_US_PER_MS)
+
+/* Returns the part of the service's room that the fair shares give to this
+ * router: of each team's share, in proportion to what the team wants here. */
+static double
+own_part(const struct sl_sharing_service *service, int64_t share)
+{
+    double part = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, service->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_sharing_count *team = value;
+        int64_t own = team->held + team->waiting;
+        int64_t all = own + team->peers_held + team->peers_waiting;
+        if (own > 0) {
+            part +=
+                (double)MIN(all, MAX(share, 1)) * (double)own / (double)all;
+        }
+    }
+    return part;
+}
+
+static struct sl_sharing_bucket *
+find_or_add_bucket(struct sl_sharing *sharing, uint32_t service)
+{
+    gpointer key = GUINT_TO_POINTER(service);
+    struct sl_sharing_bucket *bucket =
+        g_hash_table_lookup(sharing->buckets, key);
+    if (bucket == NULL && SlSharing_HasRoom(sharing->buckets)) {
+        bucket = g_new0(struct sl_sharing_bucket, 1);
+        bucket->tokens = 1;
+        g_hash_table_insert(sharing->buckets, key, bucket);
+    }
+    return bucket;
+}
+
+void
+SlSharing_TakeToken(struct sl_sharing *sharing, uint32_t service)
+{
+    struct sl_sharing_bucket *bucket = find_or_add_bucket(sharing, service);
+    if (bucket != NULL) {
+        bucket->tokens = MAX(bucket->tokens - 1, 0);
+    }
+}
+
+struct sl_sharing_allotment
+SlSharing_Allot(struct sl_sharing *sharing, int64_t now_us, uint32_t service,
+                int64_t usable_slots, int64_t run_us)
+{
+    const struct sl_sharing_service *entry =
+        SlSharing_FindService(sharing, service);
+    struct sl_sharing_bucket *bucket = find_or_add_bucket(sharing, service);
+    struct sl_sharing_holding all = SlSharing_Service(sharing, service);
+    double run = (double)MAX(run_us, 1);
+    double slots = (double)MAX(usable_slots, 1);
+    double room = Sl_HELD_PER_SLOT * slots;
+    struct sl_sharing_allotment allotment = {
+        .share = INT64_MAX,
+        .interval_us = (int64_t)(run / slots),
+    };
+    if (entry == NULL || bucket == NULL || usable_slots == 0 ||
+        (double)(all.held + all.waiting) <= room) {
+        return allotment;
+    }
+    allotment.share = SlSharing_FairShare(sharing, service, (int64_t)room);
+    double part = own_part(entry, allotment.share);
+    double correction = CLAMP(room / (double)MAX(all.held, 1),
+                              Sl_MIN_CORRECTION, Sl_MAX_CORRECTION);
+    double per_us = part / room * slots / run * correction;
+    double burst = MAX(1, per_us * (double)Sl_BURST_US);
+    bucket->tokens = MIN(
+        bucket->tokens + per_us * (double)(now_us - bucket->filled_us), burst);
+    bucket->filled_us = now_us;
+    allotment.is_contended = true;
+    allotment.interval_us = (int64_t)(1 / per_us);
+    allotment.free_us =
+        bucket->tokens >= 1 ? 0 : (int64_t)((1 - bucket->tokens) / per_us) + 1;
+    return allotment;
+}
--- a/lib/sharing/sl_sharing_internal.h
+++ b/lib/sharing/sl_sharing_internal.h
@@ -2,6 +2,7 @@
  * Declarations shared by the files of sl_sharing.
  *
  * sl_admission.c        whether a request is refused
+ * sl_sharing_allot.c    what this router may send
  * sl_sharing_order.c    which request goes first, fair shares
  * sl_sharing_reports.c  exchange with the other routers
  * sl_sharing.c          what teams hold and wait for; run times
@@ -51,6 +52,13 @@
     GHashTable *usual_deadlines; /* route -> double, us, owned */
     /* Hash of service and route -> struct sl_sharing_backlog, owned. */
     GHashTable *backlogs;
+    GHashTable *buckets; /* service -> struct sl_sharing_bucket, owned */
+};
+
+/* Requests that this router may send to a service at once. */
+struct sl_sharing_bucket {
+    double tokens;
+    int64_t filled_us; /* when tokens were last added */
 };
 
 /* A moving average. */
@@ -75,6 +83,8 @@
  * the claim beyond that level are 0. */
 int64_t SlSharing_PartHeld(const struct sl_sharing *sharing,
                            const struct sl_sharing_claim *claim);
+/* Handles that a request to the service is sent: takes a token. */
+void SlSharing_TakeToken(struct sl_sharing *sharing, uint32_t service);
 /* Returns true if the table may get an entry of another name. */
 bool SlSharing_HasRoom(GHashTable *table);
 
--- a/lib/sharing/sl_sharing_order.c
+++ b/lib/sharing/sl_sharing_order.c
@@ -155,33 +155,7 @@
     }
 }
 
-/* ---- the fleet ---- */
-
-int64_t
-SlSharing_PeersAhead(const struct sl_sharing *sharing, uint32_t service,
-                     uint32_t team, int64_t level)
-{
-    const struct sl_sharing_service *entry =
-        SlSharing_FindService(sharing, service);
-    if (entry == NULL || entry->count.peers_waiting == 0) {
-        return 0;
-    }
-    /* Requests of its own team came before it. */
-    int64_t own = SlSharing_Team(sharing, service, team).peers_waiting;
-    int64_t ahead = own;
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&iter, entry->teams);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct sl_sharing_count *other = value;
-        if (GPOINTER_TO_UINT(key) != team && other->peers_waiting > 0) {
-            ahead += CLAMP(level + own - other->held - other->peers_held, 0,
-                           other->peers_waiting);
-        }
-    }
-    return ahead;
-}
+/* ---- fair shares ---- */
 
 static int
 compare_wants(const void *left, const void *right)
