sharing: teams below their share send at once; tests of both

Cause: the pace held back small teams as well, which waited up to 90 ms for a token while there was room for them. An overload was recognized by the backlog, which refusals keep short.

Change: only teams above their share are paced, by what the others leave. An overload lasts when the service has been contended for as long as the objective. Tests of the package, and of a fleet of 24 routers under a hot team, three hot teams, and a burst with a quarter of the upstreams gone. The fleet of the tests can state loads in responses.

--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -13,13 +13,17 @@
 struct sl_waited_service {
     const struct sl_name *name;
     uint32_t key;
-    int64_t kept; /* waiting requests that were decided on, and wait on */
+    /* Waiting requests that were decided on, and wait on: of teams above their
+     * share, and of the others. */
+    int64_t kept_above;
+    int64_t kept_others;
     /* No upstream has room: the answer for all requests that any upstream of
-     * the service may serve. */
+     * the service may serve; and for those of teams above their share. */
     bool is_full;
     struct sl_placement full;
-    int64_t interval_us; /* between two requests that are sent */
-    int64_t share;       /* fair share of a team */
+    bool is_full_above;
+    struct sl_placement full_above;
+    struct sl_sharing_allotment allotment; /* the last */
 };
 
 struct sl_admission_pass {
@@ -134,23 +138,33 @@
            SlRollouts_VersionRule(router, request) == Sl_VERSION_ANY;
 }
 
-/* Sets the pace at which this router may send to the service. Under
- * contention, and if it has sent its part, no upstream takes another request
- * now. */
+/* Returns true if the request's team wants more than its fair share. */
+static bool
+is_above_share(const struct sl_admission_pass *pass,
+               const struct sl_waited_service *service,
+               const struct sl_routed_request *request)
+{
+    return SlSharing_IsAboveShare(pass->router->sharing, service->key,
+                                  request->claim.team,
+                                  service->allotment.share);
+}
+
+/* Updates the service's allotment. If the request's team is above its share
+ * and this router has sent its part, no upstream takes the request now. */
 static void
 apply_allotment(struct sl_admission_pass *pass,
                 struct sl_waited_service *service,
+                const struct sl_routed_request *request,
                 struct sl_placement *placement)
 {
     struct sl_sharing *sharing = pass->router->sharing;
-    struct sl_sharing_allotment allotment = SlSharing_Allot(
+    service->allotment = SlSharing_Allot(
         sharing, pass->router->now_us, service->key, placement->usable_slots,
         SlSharing_RunUs(sharing, service->key, Sl_INITIAL_SLOT_US));
-    service->interval_us = allotment.interval_us;
-    service->share = allotment.share;
-    if (placement->upstream != NULL && allotment.free_us > 0) {
+    if (placement->upstream != NULL && service->allotment.free_us > 0 &&
+        is_above_share(pass, service, request)) {
         placement->upstream = NULL;
-        placement->wait_us = allotment.free_us;
+        placement->wait_us = service->allotment.free_us;
     }
 }
 
@@ -160,28 +174,27 @@
     const struct sl_routed_request *request = pass->waiting->pdata[index];
     struct sl_waited_service *service = find_service(pass, request);
     bool unrestricted = is_unrestricted(pass->router, request);
-    if (service->is_full && unrestricted) {
+    if (unrestricted && service->is_full) {
         return service->full;
     }
+    if (unrestricted && service->is_full_above &&
+        is_above_share(pass, service, request)) {
+        return service->full_above;
+    }
     struct sl_placement placement = SlPlacement_Choose(pass->router, request);
-    apply_allotment(pass, service, &placement);
-    if (unrestricted && placement.upstream == NULL) {
+    bool is_full = placement.upstream == NULL;
+    apply_allotment(pass, service, request, &placement);
+    if (unrestricted && is_full) {
         service->is_full = true;
         service->full = placement;
     }
+    else if (unrestricted && placement.upstream == NULL) {
+        service->is_full_above = true;
+        service->full_above = placement;
+    }
     return placement;
 }
 
-/* Returns true if the team has more than its fair share of the service. */
-static bool
-is_above_share(const struct sl_admission_pass *pass,
-               const struct sl_waited_service *service, uint32_t team)
-{
-    struct sl_sharing_holding holding =
-        SlSharing_Team(pass->router->sharing, service->key, team);
-    return holding.held + holding.waiting > service->share;
-}
-
 /* Returns the time that the request's client still waits for the response. */
 static int64_t
 client_left_us(const struct sl_router *router,
@@ -205,6 +218,7 @@
     int64_t objective_us = request->route->target_latency_us;
     int64_t run_us =
         SlSharing_RunUs(router->sharing, service->key, Sl_INITIAL_SLOT_US);
+    bool is_above = is_above_share(pass, service, request);
     struct sl_admission_state state = {
         .has_room = placement->upstream != NULL,
         .usable_slots = placement->usable_slots,
@@ -212,8 +226,10 @@
         .begin_us =
             request->service->is_engine ? placement->first_event_us : run_us,
         .free_us = placement->wait_us,
-        .ahead = service->kept,
-        .interval_us = service->interval_us,
+        .ahead = is_above ? service->kept_above : service->kept_others,
+        .interval_us = is_above ? service->allotment.interval_us
+                                : SlAdmission_BacklogUs(
+                                      1, run_us, placement->usable_slots),
         .backlog = SlSharing_Service(router->sharing, service->key).waiting,
         .upstream_wait_us =
             request->service->is_engine
@@ -230,13 +246,10 @@
         .is_stream = request->service->is_engine,
         .spread = (uint32_t)SlHash_Bytes(0, request->incoming.id),
     };
-    if (!state.has_room && objective_us > 0 && request->possible_runs == 0) {
-        state.is_overload_lasting = SlAdmission_IsOverloadLasting(
-            router->sharing, now_us, &request->claim,
-            SlAdmission_BacklogUs(state.backlog, run_us, state.usable_slots),
-            objective_us);
-        state.is_above_share =
-            is_above_share(pass, service, request->claim.team);
+    if (objective_us > 0 && request->possible_runs == 0) {
+        state.is_overload_lasting =
+            service->allotment.contended_us >= objective_us;
+        state.is_above_share = is_above;
     }
     return SlAdmission_Decide(&state);
 }
@@ -244,7 +257,14 @@
 void
 SlAdmissionControl_OnKept(struct sl_admission_pass *pass, size_t index)
 {
-    find_service(pass, pass->waiting->pdata[index])->kept++;
+    const struct sl_routed_request *request = pass->waiting->pdata[index];
+    struct sl_waited_service *service = find_service(pass, request);
+    if (is_above_share(pass, service, request)) {
+        service->kept_above++;
+    }
+    else {
+        service->kept_others++;
+    }
 }
 
 void
--- a/lib/sharing/sl_admission.c
+++ b/lib/sharing/sl_admission.c
@@ -3,9 +3,9 @@
  * learns at once that it did not run, and when to come back.
  *
  * While more requests come than the service can run, waiting longer makes all
- * of them late. So when the backlog has been longer than the objective for a
- * while, requests that would be late are refused, of the teams that have more
- * than their fair share: the others are served in time.
+ * of them late. So when the service has been contended for as long as the
+ * objective, requests that would be late are refused, of the teams that want
+ * more than their fair share: the others are served in time.
  */
 #include "sl_sharing_internal.h"
 
@@ -20,10 +20,6 @@
  * elsewhere when it is cut. */
 #define Sl_REPEATABLE_RUN_PARTS 2
 
-/* An overload ends when the backlog is shorter than this part of the
- * objective: what refusals have made shorter would grow again at once. */
-#define Sl_CLEARED_PARTS 4
-
 int64_t
 SlAdmission_BacklogUs(int64_t backlog, int64_t run_us, int64_t usable_slots)
 {
@@ -96,32 +92,3 @@
     }
     return admission;
 }
-
-bool
-SlAdmission_IsOverloadLasting(struct sl_sharing *sharing, int64_t now_us,
-                              const struct sl_sharing_claim *claim,
-                              int64_t backlog_us, int64_t objective_us)
-{
-    gpointer key = GUINT_TO_POINTER((guint)SlHash_Mix(
-        (uint64_t)claim->service << 32 | (uint64_t)claim->route));
-    struct sl_sharing_backlog *backlog =
-        g_hash_table_lookup(sharing->backlogs, key);
-    if (backlog_us <=
-        (backlog == NULL ? objective_us : objective_us / Sl_CLEARED_PARTS)) {
-        g_hash_table_remove(sharing->backlogs, key);
-        return false;
-    }
-    if (backlog == NULL) {
-        if (!SlSharing_HasRoom(sharing->backlogs)) {
-            return false;
-        }
-        backlog = g_new0(struct sl_sharing_backlog, 1);
-        backlog->since_us = now_us;
-        g_hash_table_insert(sharing->backlogs, key, backlog);
-    }
-    else if (now_us - backlog->seen_us > objective_us) {
-        backlog->since_us = now_us; /* another one */
-    }
-    backlog->seen_us = now_us;
-    return now_us - backlog->since_us >= objective_us;
-}
--- a/lib/sharing/sl_sharing.c
+++ b/lib/sharing/sl_sharing.c
@@ -48,7 +48,6 @@
     sharing->run_us = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     sharing->usual_deadlines = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     sharing->buckets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    sharing->backlogs = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     return sharing;
 }
 
@@ -63,7 +62,6 @@
     g_hash_table_destroy(sharing->peers);
     g_hash_table_destroy(sharing->run_us);
     g_hash_table_destroy(sharing->usual_deadlines);
-    g_hash_table_destroy(sharing->backlogs);
     g_hash_table_destroy(sharing->buckets);
     g_free(sharing);
 }
@@ -191,7 +189,7 @@
                  const struct sl_sharing_claim *claim)
 {
     change_claim(sharing, claim, 1, 0);
-    SlSharing_TakeToken(sharing, claim->service);
+    SlSharing_TakeToken(sharing, claim);
 }
 
 void
--- a/lib/sharing/sl_sharing.h
+++ b/lib/sharing/sl_sharing.h
@@ -110,21 +110,28 @@
 int64_t SlSharing_FairShare(const struct sl_sharing *sharing, uint32_t service,
                             int64_t room);
 
+/* Returns true if the team wants more than `share`. */
+bool SlSharing_IsAboveShare(const struct sl_sharing *sharing, uint32_t service,
+                            uint32_t team, int64_t share);
+
 /* What this router may send to a service. */
 struct sl_sharing_allotment {
-    bool is_contended; /* the fleet wants more than the service has room for;
-                          without, the others do not count */
-    int64_t share; /* fair share of a team, in requests; INT64_MAX: there is
-                      room for all */
-    int64_t interval_us; /* mean time between two requests of this router */
+    bool is_contended; /* the fleet wants more than the service has room for */
+    int64_t contended_us; /* for how long it has, but for short breaks */
+    int64_t share; /* fair share of a team, in requests; INT64_MAX: there
+                      is room for all */
+    /* For the teams above their share, together. The others may send whenever
+     * an upstream has room. */
+    int64_t interval_us; /* mean time between two requests */
     int64_t free_us;     /* until the next one; 0: now */
 };
 
 /* Returns this router's allotment. While the teams want more than the slots
- * and a short queue at each upstream hold, each router sends at a pace: the
- * shares of its teams, in proportion to what they want through it. The paces
- * of all routers together are that of the service, however old the reports
- * are that say how much room there is. */
+ * and a short queue at each upstream hold, each router sends the requests of
+ * the teams above their share at a pace: the shares of these teams, in
+ * proportion to what they want through it. The paces of all routers together
+ * are what the other teams leave of the service's, however old the reports are
+ * that say how much room there is. */
 struct sl_sharing_allotment SlSharing_Allot(struct sl_sharing *sharing,
                                             int64_t now_us, uint32_t service,
                                             int64_t usable_slots,
@@ -156,8 +163,8 @@
     bool runs_once;            /* the request must not run more than once */
     bool is_stream;            /* its response is of use as it arrives */
     bool is_above_share;       /* its team has more than its fair share */
-    bool is_overload_lasting;  /* the backlog has been longer than the
-                                  objective for a while */
+    bool is_overload_lasting;  /* the service has been contended for as long
+                                  as the objective */
     uint32_t spread; /* hash of the request, which spreads Retry-After */
 };
 
@@ -179,12 +186,6 @@
 /* Returns the time that a backlog of this many requests takes to clear. */
 int64_t SlAdmission_BacklogUs(int64_t backlog, int64_t run_us,
                               int64_t usable_slots);
-/* Records how long the backlog is that requests of a route meet now, and
- * returns true if it has been longer than the objective for as long as the
- * objective. */
-bool SlAdmission_IsOverloadLasting(struct sl_sharing *sharing, int64_t now_us,
-                                   const struct sl_sharing_claim *claim,
-                                   int64_t backlog_us, int64_t objective_us);
 
 /* ---- 5. Reports ------------------------------------------------------- */
 
--- a/lib/sharing/sl_sharing_internal.h
+++ b/lib/sharing/sl_sharing_internal.h
@@ -50,15 +50,17 @@
     int64_t oldest_us;           /* no report was sent before */
     GHashTable *run_us;          /* service -> struct sl_sharing_mean, owned */
     GHashTable *usual_deadlines; /* route -> double, us, owned */
-    /* Hash of service and route -> struct sl_sharing_backlog, owned. */
-    GHashTable *backlogs;
     GHashTable *buckets; /* service -> struct sl_sharing_bucket, owned */
 };
 
-/* Requests that this router may send to a service at once. */
+/* Requests of teams above their share that this router may send to a service
+ * at once. */
 struct sl_sharing_bucket {
+    int64_t share; /* of the last allotment */
     double tokens;
     int64_t filled_us; /* when tokens were last added */
+    int64_t contended_since_us;
+    int64_t contended_seen_us; /* when it was last found contended */
 };
 
 /* A moving average. */
@@ -67,12 +69,6 @@
     int64_t count; /* observations, up to those that the average covers */
 };
 
-/* A backlog that is longer than the objective. */
-struct sl_sharing_backlog {
-    int64_t since_us;
-    int64_t seen_us; /* when it was last seen */
-};
-
 /* Returns the service's entry, or NULL. */
 struct sl_sharing_service *
 SlSharing_FindService(const struct sl_sharing *sharing, uint32_t service);
@@ -83,8 +79,10 @@
  * the claim beyond that level are 0. */
 int64_t SlSharing_PartHeld(const struct sl_sharing *sharing,
                            const struct sl_sharing_claim *claim);
-/* Handles that a request to the service is sent: takes a token. */
-void SlSharing_TakeToken(struct sl_sharing *sharing, uint32_t service);
+/* Handles that a request is sent: takes a token if its team is above its
+ * share. */
+void SlSharing_TakeToken(struct sl_sharing *sharing,
+                         const struct sl_sharing_claim *claim);
 /* Returns true if the table may get an entry of another name. */
 bool SlSharing_HasRoom(GHashTable *table);
 
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -51,6 +51,8 @@
     std::function<void(size_t, size_t)> on_pull;
     // The first router gets all records from the second although it has some.
     std::function<void(size_t, size_t)> on_full_transfer;
+    // Load that an upstream states in its responses; not set: none.
+    std::function<int64_t(const std::string &)> load_of;
     // Called with the id of an upstream whose process has ended.
     std::function<void(const std::string &)> on_upstream_end;
     // Digests are encoded and decoded, which leaves out what does not fit.
@@ -584,6 +586,10 @@
         head.confidence = response.confidence;
         head.is_leaving = response.leaves;
         head.cold_us = -1;
+        if (load_of) {
+            head.has_load = true;
+            head.running = load_of(due.call.upstream);
+        }
         struct sl_router_event event =
             router.make_event(Sl_ROUTER_EVENT_RESPONSE_HEAD);
         event.u.response.token = due.call.token;
