router: shares in log lines, metrics by team, the reason in sassafrasctl explain

Cause: nobody could see why a request waited or was refused, and which team held the room.

Change: team_share in the lines queued and unplaced; waits, refusals and holdings by service and team, with at most 96 series of holdings; explain says whether the team was above its share, and what end was expected.

--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -276,6 +276,9 @@
         router->sharing, request->claim.service, request->claim.team);
     struct sl_sharing_holding all =
         SlSharing_Service(router->sharing, request->claim.service);
+    int64_t share =
+        SlSharing_LastShare(router->sharing, request->claim.service);
+    SlLogLine_Int(router, "team_share", share == INT64_MAX ? -1 : share);
     SlLogLine_Int(router, "team_held", team.held);
     SlLogLine_Int(router, "team_waiting", team.waiting);
     SlLogLine_Int(router, "fleet_held", all.held);
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -195,6 +195,9 @@
         .may_have_run = may_have_run,
         .retry_after_us = may_have_run ? 0 : retry_after_us,
     };
+    if (admission != NULL) {
+        SlRouterMetrics_OnTeamRefused(router, request);
+    }
     log_no_upstream(router, request, placement, admission, "unplaced");
     SlRoutedRequest_Fail(router, request, &refusal);
 }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -629,6 +629,10 @@
     Sl_ROUTER_METRIC_CONFIGURATION_REFUSED,
     Sl_ROUTER_METRIC_STORE_AGE,
     Sl_ROUTER_METRIC_READY,
+    Sl_ROUTER_METRIC_TEAM_QUEUE,
+    Sl_ROUTER_METRIC_TEAM_REFUSALS,
+    Sl_ROUTER_METRIC_TEAM_HELD,
+    Sl_ROUTER_METRIC_TEAM_WAITING,
     Sl_ROUTER_METRIC_LOG_DROPPED,
     Sl_ROUTER_METRIC_COUNT,
 };
@@ -657,6 +661,9 @@
  * an upstream. */
 void SlRouterMetrics_OnCall(struct sl_router *router,
                             const struct sl_routed_request *request);
+/* Counts a request that admission control refuses. */
+void SlRouterMetrics_OnTeamRefused(struct sl_router *router,
+                                   const struct sl_routed_request *request);
 /* Counts a call that has failed; `reason` is the value of a label. */
 void SlRouterMetrics_OnCallFailed(struct sl_router *router,
                                   const struct sl_routed_request *request,
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -205,6 +205,32 @@
                                 "1 while new connections are wanted.",
                                 {NULL},
                                 NULL},
+    [Sl_ROUTER_METRIC_TEAM_QUEUE] =
+        {"sassafrasledge_team_queue_seconds",
+         Sl_METRIC_HISTOGRAM,
+         "Wait for an upstream before each call, where "
+         "teams share the upstreams.",
+         {"service", "team"},
+         second_bounds},
+    [Sl_ROUTER_METRIC_TEAM_REFUSALS] =
+        {"sassafrasledge_team_refusals_total",
+         Sl_METRIC_COUNTER,
+         "Requests refused as they could not end in time, or as "
+         "their team wanted more than its share.",
+         {"service", "team"},
+         NULL},
+    [Sl_ROUTER_METRIC_TEAM_HELD] =
+        {"sassafrasledge_team_held_requests",
+         Sl_METRIC_GAUGE,
+         "Requests of the team at upstreams, of all routers.",
+         {"service", "team"},
+         NULL},
+    [Sl_ROUTER_METRIC_TEAM_WAITING] =
+        {"sassafrasledge_team_waiting_requests",
+         Sl_METRIC_GAUGE,
+         "Requests of the team that wait, of all routers.",
+         {"service", "team"},
+         NULL},
     [Sl_ROUTER_METRIC_LOG_DROPPED] =
         {"sassafrasledge_log_lines_left_out_total",
          Sl_METRIC_COUNTER,
@@ -276,6 +302,21 @@
     SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_CALLS, service, NULL, 1);
     SlMetrics_Observe(router->metrics, Sl_ROUTER_METRIC_QUEUE, service, NULL,
                       to_seconds(router->now_us - request->queued_us));
+    if (request->team != NULL && SlAdmissionControl_IsOn(router)) {
+        SlMetrics_Observe(router->metrics, Sl_ROUTER_METRIC_TEAM_QUEUE,
+                          service, &request->team->name,
+                          to_seconds(router->now_us - request->queued_us));
+    }
+}
+
+void
+SlRouterMetrics_OnTeamRefused(struct sl_router *router,
+                              const struct sl_routed_request *request)
+{
+    if (request->team != NULL) {
+        SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_TEAM_REFUSALS,
+                      &request->service->name, &request->team->name, 1);
+    }
 }
 
 void
@@ -425,6 +466,60 @@
     }
 }
 
+/* Teams with series of their own, of all services together; the others of a
+ * service have one. */
+#define Sl_MAX_TEAM_SERIES 96
+
+/* Sets what a team, or those without a series of their own, have. */
+static void
+set_team(struct sl_router *router, const struct sl_name *service,
+         const struct sl_name *team, const struct sl_sharing_holding *holding)
+{
+    SlMetrics_Set(router->metrics, Sl_ROUTER_METRIC_TEAM_HELD, service, team,
+                  (double)holding->held);
+    SlMetrics_Set(router->metrics, Sl_ROUTER_METRIC_TEAM_WAITING, service,
+                  team, (double)holding->waiting);
+}
+
+/* Sets what the teams of the configuration have of the service. */
+static void
+set_teams_of(struct sl_router *router, const struct sl_name *service,
+             size_t series)
+{
+    uint32_t key = SlSharing_Key(SlName_Str(service));
+    size_t count = SlRouting_TeamCount(router->routing);
+    struct sl_sharing_holding others = {0};
+    struct sl_name other_label = SlName_Of("other");
+    for (size_t i = 0; i < count; i++) {
+        const struct sl_name *team = &SlRouting_Team(router->routing, i)->name;
+        struct sl_sharing_holding holding = SlSharing_Team(
+            router->sharing, key, SlSharing_Key(SlName_Str(team)));
+        if (i < series) {
+            set_team(router, service, team, &holding);
+        }
+        else {
+            others.held += holding.held;
+            others.waiting += holding.waiting;
+        }
+    }
+    if (count > series) {
+        set_team(router, service, &other_label, &others);
+    }
+}
+
+static void
+set_teams(struct sl_router *router)
+{
+    if (!SlAdmissionControl_IsOn(router)) {
+        return;
+    }
+    size_t services = SlRouting_ServiceCount(router->routing);
+    for (size_t i = 0; i < services; i++) {
+        set_teams_of(router, &SlRouting_Service(router->routing, i)->name,
+                     Sl_MAX_TEAM_SERIES / services);
+    }
+}
+
 static void
 set_gauge(struct sl_router *router, enum sl_router_metric metric, double value)
 {
@@ -457,6 +552,7 @@
     set_gauge(router, Sl_ROUTER_METRIC_READY,
               SlRouter_IsReady(router) ? 1 : 0);
     set_upstreams(router);
+    set_teams(router);
     SlMetrics_AppendText(router->metrics, out);
 }
 
--- a/lib/routing/sl_routing.c
+++ b/lib/routing/sl_routing.c
@@ -312,6 +312,18 @@
     return routing->services->len;
 }
 
+size_t
+SlRouting_TeamCount(const struct sl_routing *routing)
+{
+    return routing->teams->len;
+}
+
+const struct sl_team *
+SlRouting_Team(const struct sl_routing *routing, size_t index)
+{
+    return routing->teams->pdata[index];
+}
+
 const struct sl_route_service *
 SlRouting_Service(const struct sl_routing *routing, size_t index)
 {
--- a/lib/routing/sl_routing.h
+++ b/lib/routing/sl_routing.h
@@ -160,6 +160,10 @@
 /* Returns true if clients need an API key on routes that are not public, which
  * is the case if there is any team. */
 bool SlRouting_NeedsKeys(const struct sl_routing *routing);
+size_t SlRouting_TeamCount(const struct sl_routing *routing);
+/* Returns a team by its index, which is below SlRouting_TeamCount(). */
+const struct sl_team *SlRouting_Team(const struct sl_routing *routing,
+                                     size_t index);
 /* Returns the service of this name, or NULL. */
 const struct sl_route_service *
 SlRouting_FindService(const struct sl_routing *routing,
--- a/lib/sharing/sl_sharing.h
+++ b/lib/sharing/sl_sharing.h
@@ -137,6 +137,10 @@
                                             int64_t usable_slots,
                                             int64_t run_us);
 
+/* Returns the fair share in the service's last allotment. */
+int64_t SlSharing_LastShare(const struct sl_sharing *sharing,
+                            uint32_t service);
+
 /* When requests come back after a refusal, their deadlines are shorter than
  * usual. Learns from the client's deadline of a request, and returns for how
  * long its client has tried before; 0: it is the first attempt. */
--- a/lib/sharing/sl_sharing_allot.c
+++ b/lib/sharing/sl_sharing_allot.c
@@ -132,3 +132,11 @@
         bucket->tokens >= 1 ? 0 : (int64_t)((1 - bucket->tokens) / per_us) + 1;
     return allotment;
 }
+
+int64_t
+SlSharing_LastShare(const struct sl_sharing *sharing, uint32_t service)
+{
+    const struct sl_sharing_bucket *bucket =
+        g_hash_table_lookup(sharing->buckets, GUINT_TO_POINTER(service));
+    return bucket == NULL ? INT64_MAX : bucket->share;
+}
--- a/programs/sassafrasctl_explain.c
+++ b/programs/sassafrasctl_explain.c
@@ -330,6 +330,41 @@
     return status >= 400;
 }
 
+/* Prints why admission control let the request wait or refused it, by the last
+ * line that tells what its team has. */
+static void
+print_share(struct sl_explanation *explanation)
+{
+    const json_t *last = NULL;
+    for (guint i = 0; i < explanation->request_lines->len; i++) {
+        const struct sl_log_line *line = explanation->request_lines->pdata[i];
+        if (json_object_get(line->json, "team_share") != NULL) {
+            last = line->json;
+        }
+    }
+    if (last == NULL) {
+        return;
+    }
+    json_int_t share = json_integer_value(json_object_get(last, "team_share"));
+    json_int_t wants =
+        json_integer_value(json_object_get(last, "team_held")) +
+        json_integer_value(json_object_get(last, "team_waiting"));
+    json_int_t end_ms =
+        json_integer_value(json_object_get(last, "expected_end_ms"));
+    json_int_t left_ms = json_integer_value(json_object_get(last, "left_ms"));
+    const char *verdict = share < 0       ? "no upstream had room"
+                          : wants > share ? "its team wanted more than its "
+                                            "fair share"
+                                          : "its team was within its fair "
+                                            "share, but no upstream had room";
+    SlCtl_Print(explanation->ctl,
+                "why it waited or was refused: %s (wants %" JSON_INTEGER_FORMAT
+                ", share %" JSON_INTEGER_FORMAT
+                "); its end was expected in %" JSON_INTEGER_FORMAT
+                " ms, with %" JSON_INTEGER_FORMAT " ms left",
+                verdict, wants, share, end_ms, left_ms);
+}
+
 static void
 print_failures(struct sl_explanation *explanation)
 {
@@ -380,6 +415,7 @@
     SlCtl_Print(explanation->ctl, "request %s", explanation->request);
     print_state_at_arrival(explanation);
     print_timeline(explanation);
+    print_share(explanation);
     print_failures(explanation);
     return Sl_OK;
 }
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -55,6 +55,7 @@
 //     [suspect] [answers= bad= base-answers= base-bad=] [leaving] [store-age=]
 //     [known=] [relay=PLACE] [age=] [again] [boot=] [address=]
 //     [block=PART,..] [ended=UPSTREAM:PART] [begun=PART,..]
+//     [share=SERVICE:TEAM:HELD:WAITING,..]
 //       a digest from a peer; block: parts of which a prompt must not hold
 //       all; ended: an upstream that has ended by a part; begun: parts that
 //       are no suspects any more; all are of the service plume; age: it was
@@ -84,6 +85,7 @@
 
 extern "C" {
 #include "sl_quarantine.h"
+#include "sl_sharing.h"
 }
 
 namespace fs = std::filesystem;
@@ -752,6 +754,14 @@
             at.in_flight = (uint32_t)std::stoul(fields.at(1));
             at.backlog_ms = (uint32_t)std::stoul(fields.at(2));
         }
+        for (const std::string &share : split(args.str("share"))) {
+            std::vector<std::string> fields = split(share, ':');
+            struct sl_gossip_share &at = digest->shares[digest->share_count++];
+            at.service = SlSharing_Key(view(fields.at(0)));
+            at.team = SlSharing_Key(view(fields.at(1)));
+            at.held = (uint16_t)std::stoul(fields.at(2));
+            at.waiting = (uint16_t)std::stoul(fields.at(3));
+        }
         for (const std::string &fault : split(args.str("fault"))) {
             std::vector<std::string> fields = split(fault, ':');
             struct sl_gossip_fault &at = digest->faults[digest->fault_count++];
@@ -1014,6 +1024,11 @@
         for (size_t i = 0; i < effect.u.send_digest.count; i++) {
             out << " " << effect.u.send_digest.addresses[i]->text;
         }
+        const struct sl_gossip_digest *sent = effect.u.send_digest.digest;
+        for (size_t i = 0; i < sent->share_count; i++) {
+            out << " share=" << sent->shares[i].held << ":"
+                << sent->shares[i].waiting;
+        }
         out << " loads=" << effect.u.send_digest.digest->load_count
             << " rollouts=" << effect.u.send_digest.digest->rollout_count
             << " faults=" << effect.u.send_digest.digest->fault_count
