--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -125,6 +125,7 @@
     SlRollouts_AddToDigest(router, digest);
     SlQuarantine_FillReport(router->quarantine, router->now_us,
                             &digest->quarantine);
+    SlAdmissionControl_AddToDigest(router, digest);
 }
 
 void
@@ -501,6 +502,7 @@
     }
     SlPromptGuard_OnReport(router, &digest->quarantine);
     SlKeptParts_OnReport(router, digest);
+    SlAdmissionControl_OnDigest(router, digest);
 }
 
 /* ---- members ---- */
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -582,6 +582,7 @@
         int64_t took_us = router->now_us - request->upstream_call.sent_us;
         SlLatency_LearnRun(router, &request->service->name, took_us);
         SlUpstreamPace_LearnRun(router, request, took_us);
+        SlAdmissionControl_OnRan(router, request);
         note_begun(router, request, true);
         SlUpstreamCall_Detach(router, request);
         finish(router, request);
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -65,6 +65,7 @@
     router->quarantine = SlQuarantine_New();
     router->rooms = options->guards_memory ? SlEngineRooms_New() : NULL;
     router->kept = SlKept_New();
+    router->sharing = SlSharing_New();
     router->deferred_frees = g_ptr_array_new_with_free_func(free_request);
     return router;
 }
@@ -94,6 +95,7 @@
     SlQuarantine_Free(router->quarantine);
     SlEngineRooms_Free(router->rooms);
     SlKept_Free(router->kept);
+    SlSharing_Free(router->sharing);
     g_hash_table_destroy(router->requests_by_token);
     g_hash_table_destroy(router->routed_requests);
     g_ptr_array_free(router->deferred_frees, TRUE);
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -85,6 +85,8 @@
     SlRollouts_OnCallSent(router, request, upstream);
     call->kept = placement->kept;
     SlUpstreams_OnCallSent(router, upstream, request); /* sets estimates */
+    call->sent_load = SlUpstreams_Load(router, upstream);
+    SlSharing_OnSent(router->sharing, &request->claim);
     SlStallMonitor_Watch(router, request);
 
     struct sl_router_effect *effect =
@@ -124,6 +126,7 @@
     router->buffered_bytes -= call->buffered_bytes;
     call->buffered_bytes = 0;
     SlRollouts_OnCallEnded(router, request);
+    SlSharing_OnEnded(router->sharing, &request->claim);
     SlUpstreams_OnCallEnded(router, call->upstream, call);
     call->upstream = NULL;
 }
