--- a/programs/sassafrasctl_platform.c
+++ b/programs/sassafrasctl_platform.c
@@ -409,22 +409,25 @@
 static void
 print_change(const struct sl_ctl *ctl, const struct sl_config_change *change)
 {
-    const char *consequence = change->consequence;
-    const char *space = *change->name == '\0' ? "" : " ";
+    struct sl_buf line = {0};
+    SlBuf_AppendC(&line, entry_name(change->entry));
+    if (*change->name != '\0') {
+        SlBuf_Printf(&line, " %s", change->name);
+    }
     if (change->field == NULL) {
-        SlCtl_Print(ctl, "  %s%s%s: %s%s%s", entry_name(change->entry), space,
-                    change->name, change_name(change->type),
-                    consequence == NULL ? "" : "; ",
-                    consequence == NULL ? "" : consequence);
-        return;
+        SlBuf_Printf(&line, ": %s", change_name(change->type));
+    }
+    else {
+        SlBuf_Printf(&line, ": %s: %s -> %s",
+                     SlPlatform_FieldKey(change->entry, change->field),
+                     change->old_value == NULL ? "none" : change->old_value,
+                     change->new_value == NULL ? "none" : change->new_value);
+    }
+    if (change->consequence != NULL) {
+        SlBuf_Printf(&line, "; %s", change->consequence);
     }
-    SlCtl_Print(ctl, "  %s %s: %s: %s -> %s%s%s", entry_name(change->entry),
-                change->name,
-                SlPlatform_FieldKey(change->entry, change->field),
-                change->old_value == NULL ? "none" : change->old_value,
-                change->new_value == NULL ? "none" : change->new_value,
-                consequence == NULL ? "" : "; ",
-                consequence == NULL ? "" : consequence);
+    SlCtl_Print(ctl, "  %.*s", (int)line.len, line.ptr);
+    SlBuf_Free(&line);
 }
 
 static json_t *
