--- a/tests/unit/router_room.cc
+++ b/tests/unit/router_room.cc
@@ -208,6 +208,22 @@
     EXPECT_EQ(statuses[other], 200);
 }
 
+// What a router that is silent for five gossip intervals held counts no more.
+TEST_F(RouterRoom, SilentRouterStopsCounting)
+{
+    start(2, 1, true);
+    run_us = 20 * Sl_US_PER_S;
+    send(0, memory_tokens * 6 / 10);
+    fleet.advance_ms(3000); // sent in a turn or when room is kept
+    ASSERT_EQ(waits_us.size(), 1u);
+    uint64_t waiting = send(1, memory_tokens * 6 / 10);
+    fleet.is_delivered = [](size_t, size_t) { return false; };
+    fleet.advance_ms(2000);
+    EXPECT_EQ(waits_us.count(waiting), 0u);
+    fleet.advance_ms(1500);
+    EXPECT_EQ(waits_us.count(waiting), 1u);
+}
+
 TEST_F(RouterRoom, RestartedEngineHasRoom)
 {
     start(1, 1, true);
