backlog: clients that read nothing go sooner while the pool is exceeded

Whole responses are not paused, and may exceed the pool: a client that has taken nothing for 3 s is cut off then, in place of 30 s. Test: one that reads stays, one that does not goes.

--- a/lib/backlog/sl_backlog.c
+++ b/lib/backlog/sl_backlog.c
@@ -4,6 +4,10 @@
  * may hold: one part in this many. */
 #define Sl_RESUME_DIVISOR 2
 
+/* While more bytes are held than the pool has, which whole responses may do,
+ * clients have stalled after this part of the time: one in this many. */
+#define Sl_FULL_STALL_DIVISOR 10
+
 /* The response to one client. */
 struct sl_backlog_stream {
     uint64_t conn;
@@ -190,11 +194,14 @@
 {
     GHashTableIter iter;
     gpointer value;
+    int64_t stall_us = backlog->options.stall_us;
+    if (backlog->stats.bytes > backlog->options.max_bytes) {
+        stall_us /= Sl_FULL_STALL_DIVISOR;
+    }
     g_hash_table_iter_init(&iter, backlog->streams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_backlog_stream *stream = value;
-        if (stream->bytes > 0 &&
-            now_us - stream->taken_us >= backlog->options.stall_us) {
+        if (stream->bytes > 0 && now_us - stream->taken_us >= stall_us) {
             uint64_t conn = stream->conn;
             backlog->stats.stalled++;
             forget(backlog, stream);
--- a/lib/backlog/sl_backlog.h
+++ b/lib/backlog/sl_backlog.h
@@ -33,7 +33,8 @@
 struct sl_backlog_options {
     size_t max_bytes;        /* held for all streams */
     size_t min_stream_bytes; /* that each stream may hold in any case */
-    int64_t stall_us;        /* after which a client has stalled */
+    int64_t stall_us;        /* after which a client has stalled; a tenth of
+                                it while more is held than `max_bytes` */
 };
 
 /* What the pool holds now, and how many clients have stalled so far. */
--- a/programs/sassafrasd_router_readers.c
+++ b/programs/sassafrasd_router_readers.c
@@ -14,7 +14,7 @@
  * window opens again. */
 #define Sl_STALL_US (30 * Sl_US_PER_S)
 /* Interval of the checks for stalled clients, while bytes wait. */
-static const struct timeval stall_check_interval = {5, 0};
+static const struct timeval stall_check_interval = {1, 0};
 
 struct sl_router_reader_watch {
     struct sl_router_runtime *runtime;
--- a/tests/unit/backlog_test.cc
+++ b/tests/unit/backlog_test.cc
@@ -136,6 +136,19 @@
     EXPECT_EQ(SlBacklog_NextStalled(backlog, now_us), 0u);
 }
 
+// Whole responses cannot be paused: while they exceed the pool, clients that
+// read nothing are cut off sooner, and those that read are not.
+TEST_F(Backlog, StalledClientsGoSoonerWhileThePoolIsExceeded)
+{
+    SlBacklog_OnAdded(backlog, 1, 0, pool_bytes, now_us);
+    SlBacklog_OnAdded(backlog, 2, 0, pool_bytes, now_us);
+    now_us += stall_us / 10;
+    SlBacklog_OnTaken(backlog, 1, pool_bytes - 1024, now_us);
+    EXPECT_EQ(SlBacklog_NextStalled(backlog, now_us), 2u);
+    now_us += stall_us / 10; // within the pool again
+    EXPECT_EQ(SlBacklog_NextStalled(backlog, now_us), 0u);
+}
+
 // A stream that goes on at another upstream: the new call is not paused yet.
 TEST_F(Backlog, PausesTheCallThatTheStreamGoesOnWith)
 {
