kept: long delays don't shift the times to read prompts

The line was fitted over all responses, and those that were late for another reason raised it, so that the rest seemed to have been kept.

test_kept: 11 passed; test_router RouterKept.*: 8 passed.

--- a/lib/kept/sl_read_time.c
+++ b/lib/kept/sl_read_time.c
@@ -5,6 +5,9 @@
 #define Sl_READ_TIME_DECAY 0.99
 /* Responses from which on the line is known. */
 #define Sl_MIN_RESPONSES 8.0
+/* Largest deviation of a response from the line that counts, as a share: long
+ * delays have other reasons. */
+#define Sl_MAX_DEVIATION 0.5
 /* Least standard deviation of their tokens. */
 #define Sl_MIN_TOKENS_DEVIATION 500.0
 
@@ -13,6 +16,13 @@
 {
     double x = (double)tokens;
     double y = (double)took_us;
+    double base_us = 0;
+    double us_per_token = 0;
+    if (SlReadTime_Line(time, &base_us, &us_per_token)) {
+        double usual_us = base_us + us_per_token * x;
+        y = CLAMP(y, usual_us * (1 - Sl_MAX_DEVIATION),
+                  usual_us * (1 + Sl_MAX_DEVIATION));
+    }
     time->count = time->count * Sl_READ_TIME_DECAY + 1;
     time->tokens = time->tokens * Sl_READ_TIME_DECAY + x;
     time->took = time->took * Sl_READ_TIME_DECAY + y;
