--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -29,7 +29,9 @@
  * memory is enough for them. */
 #define Sl_STRAY_READS 4
 /* Largest such cost, as a share of the time that would be left until the
- * route's latency objective: who is about to be late doesn't wait. */
+ * route's latency objective: who is about to be late doesn't wait. It is less
+ * in proportion for a prompt of which less is shared than its own: that needs
+ * an engine with room above all. */
 #define Sl_MAX_STRAY_COST_SHARE 0.1
 /* Largest cost of an upstream by the hash of the session. This cost spreads
  * prompts that no upstream has cached yet, in the same way at each router. */
@@ -203,8 +205,13 @@
     (void)SlName_Set(&model, SlRoutedRequest_Model(request));
     int64_t read_us = SlLatency_PrefillUs(router, &model, tokens) -
                       SlLatency_PrefillUs(router, &model, 0);
+    int64_t shared_tokens = SlKeptPrompt_SharedTokens(&choice->prompt);
+    int64_t own_tokens = request->incoming.prompt_tokens - shared_tokens;
+    double shared_to_own =
+        MIN((double)shared_tokens / (double)MAX(own_tokens, 1), 1);
     return MIN(Sl_STRAY_READS * read_us,
-               (int64_t)(Sl_MAX_STRAY_COST_SHARE * (double)MAX(left_us, 0)));
+               (int64_t)(Sl_MAX_STRAY_COST_SHARE * shared_to_own *
+                         (double)MAX(left_us, 0)));
 }
 
 /* Returns the estimated time to the first event plus the other costs of the
