router: the cascade's slack follows from what estimates were worth

Cause: a low confidence was accepted whenever less than 30% of the objective was left by the estimate, whatever was known of it. The estimate counts the stall that a prompt causes to others, and prefill times that are learned slowly: at engines with 7 streams, the first event of prompts with 6,000 to 30,000 uncached tokens came after half of it.

Change: the mean ratio of actual to estimated times, by model, corrects the estimate; the margin follows from the deviation from that mean, between 0.05 and 0.3 of the objective, 0.3 while fewer than 10 times are known. The prefill estimate has a term for pairs of tokens, learned from prompts of more than 12,000 tokens.

--- a/lib/router/sl_latency_estimate.c
+++ b/lib/router/sl_latency_estimate.c
@@ -4,6 +4,8 @@
  * room again, and whether a response is slow. */
 #include "sl_router_internal.h"
 
+#include <math.h>
+
 /* Initial estimates for a model are those of a small model on a fast
  * accelerator. The overhead is the part of the time to the head of a response
  * that does not depend on the prompt's length. */
@@ -16,6 +18,19 @@
 #define Sl_SHORT_PROMPT_TOKENS 200
 /* Prompts with more uncached tokens update the time per token. */
 #define Sl_LONG_PROMPT_TOKENS 1000
+/* Prompts with more uncached tokens update the time per pair of tokens. */
+#define Sl_HUGE_PROMPT_TOKENS 12000
+/* Number of uncached tokens at which the pairs take as long as the tokens, at
+ * least: a bound of the time per pair. */
+#define Sl_EQUAL_PAIRS_TOKENS 20000
+/* Comparisons of estimated with actual times from which on estimates are
+ * corrected. */
+#define Sl_MIN_RATIOS 10
+/* Mean deviations by which the first event may be late. */
+#define Sl_MARGIN_DEVIATIONS 2.0
+/* Bounds of one comparison. */
+#define Sl_MIN_RATIO 0.2
+#define Sl_MAX_RATIO 4.0
 
 /* Run time of requests to a service without an observation. */
 #define Sl_INITIAL_RUN_US (50 * Sl_US_PER_MS)
@@ -25,45 +40,107 @@
 {
     const struct sl_latency_estimate *estimate =
         g_hash_table_lookup(router->latency_estimates, model);
-    struct sl_latency_estimate initial = {Sl_INITIAL_OVERHEAD_US,
-                                          Sl_INITIAL_US_PER_TOKEN};
+    struct sl_latency_estimate initial = {
+        .overhead_us = Sl_INITIAL_OVERHEAD_US,
+        .us_per_token = Sl_INITIAL_US_PER_TOKEN,
+    };
     return estimate != NULL ? *estimate : initial;
 }
 
+static double
+prefill_us(const struct sl_latency_estimate *estimate, double tokens)
+{
+    return estimate->us_per_token * tokens +
+           estimate->us_per_pair * tokens * tokens;
+}
+
 int64_t
 SlLatency_PrefillUs(const struct sl_router *router,
                     const struct sl_name *model, int64_t uncached_tokens)
 {
     struct sl_latency_estimate estimate = estimate_of(router, model);
     return (int64_t)(estimate.overhead_us +
-                     estimate.us_per_token * (double)uncached_tokens);
+                     prefill_us(&estimate, (double)uncached_tokens));
 }
 
-void
-SlLatency_LearnPrefill(struct sl_router *router, const struct sl_name *model,
-                       int64_t uncached_tokens, int64_t took_us)
+static struct sl_latency_estimate *
+get_or_add_estimate(struct sl_router *router, const struct sl_name *model)
 {
     struct sl_latency_estimate *estimate =
         g_hash_table_lookup(router->latency_estimates, model);
     if (estimate == NULL) {
-        struct sl_name *key = g_memdup2(model, sizeof(*model));
         estimate = g_new0(struct sl_latency_estimate, 1);
-        estimate->overhead_us = Sl_INITIAL_OVERHEAD_US;
-        estimate->us_per_token = Sl_INITIAL_US_PER_TOKEN;
-        g_hash_table_insert(router->latency_estimates, key, estimate);
+        *estimate = estimate_of(router, model);
+        g_hash_table_insert(router->latency_estimates,
+                            g_memdup2(model, sizeof(*model)), estimate);
     }
+    return estimate;
+}
+
+static void
+update_average(double *average, double observed)
+{
+    *average += Sl_SAMPLE_WEIGHT * (observed - *average);
+}
+
+void
+SlLatency_LearnPrefill(struct sl_router *router, const struct sl_name *model,
+                       int64_t uncached_tokens, int64_t took_us)
+{
+    struct sl_latency_estimate *estimate = get_or_add_estimate(router, model);
+    double tokens = (double)uncached_tokens;
+    double read_us = (double)took_us - estimate->overhead_us;
     if (uncached_tokens < Sl_SHORT_PROMPT_TOKENS) {
-        double overhead_us =
-            (double)took_us - estimate->us_per_token * (double)uncached_tokens;
-        estimate->overhead_us +=
-            Sl_SAMPLE_WEIGHT * (MAX(overhead_us, 0) - estimate->overhead_us);
+        double overhead_us = (double)took_us - prefill_us(estimate, tokens);
+        update_average(&estimate->overhead_us, MAX(overhead_us, 0));
+    }
+    else if (uncached_tokens > Sl_HUGE_PROMPT_TOKENS) {
+        double pairs_us = read_us - estimate->us_per_token * tokens;
+        double largest = estimate->us_per_token / Sl_EQUAL_PAIRS_TOKENS;
+        update_average(&estimate->us_per_pair,
+                       CLAMP(pairs_us / (tokens * tokens), 0, largest));
     }
     else if (uncached_tokens > Sl_LONG_PROMPT_TOKENS) {
-        double us_per_token = MAX((double)took_us - estimate->overhead_us, 0) /
-                              (double)uncached_tokens;
-        estimate->us_per_token +=
-            Sl_SAMPLE_WEIGHT * (us_per_token - estimate->us_per_token);
+        double pairs_us = estimate->us_per_pair * tokens * tokens;
+        update_average(&estimate->us_per_token,
+                       MAX(read_us - pairs_us, 0) / tokens);
+    }
+}
+
+void
+SlLatency_LearnFirstEvent(struct sl_router *router,
+                          const struct sl_name *model, int64_t uncached_tokens,
+                          int64_t estimated_us, int64_t took_us)
+{
+    if (uncached_tokens <= Sl_LONG_PROMPT_TOKENS || estimated_us <= 0) {
+        return;
+    }
+    struct sl_latency_estimate *estimate = get_or_add_estimate(router, model);
+    double ratio = CLAMP((double)took_us / (double)estimated_us, Sl_MIN_RATIO,
+                         Sl_MAX_RATIO);
+    /* A mean of the first ones, then a moving average. */
+    unsigned count = MIN(estimate->ratio_count + 1, Sl_MIN_RATIOS);
+    estimate->first_event_ratio +=
+        (ratio - estimate->first_event_ratio) / (double)count;
+    estimate->ratio_deviation += (fabs(ratio - estimate->first_event_ratio) -
+                                  estimate->ratio_deviation) /
+                                 (double)count;
+    estimate->ratio_count = count;
+}
+
+int64_t
+SlLatency_FirstEventUs(const struct sl_router *router,
+                       const struct sl_name *model, int64_t estimated_us,
+                       int64_t *margin_us)
+{
+    struct sl_latency_estimate estimate = estimate_of(router, model);
+    if (estimate.ratio_count < Sl_MIN_RATIOS) {
+        *margin_us = Sl_NEVER_US;
+        return estimated_us;
     }
+    *margin_us = (int64_t)(Sl_MARGIN_DEVIATIONS * estimate.ratio_deviation *
+                           (double)estimated_us);
+    return (int64_t)(estimate.first_event_ratio * (double)estimated_us);
 }
 
 /* ---- moving averages by name of a service or route ---- */
--- a/lib/router/sl_model_cascade.c
+++ b/lib/router/sl_model_cascade.c
@@ -2,9 +2,9 @@
  * Model cascade: the smallest of a route's models responds first. If the
  * confidence of its response is low, the request is escalated to a larger
  * model. Small models answer most requests well enough, and the prefill of the
- * largest takes several times as long. The less time the larger model would
- * have, the lower the confidence that is accepted, so that an upstream with a
- * prefill backlog does not get more work whose responses would be late.
+ * largest takes several times as long. If the larger model's response may be
+ * late, as estimates go, less confidence is accepted, so that an upstream with
+ * a prefill backlog does not get more work whose responses would be late.
  *
  * The confidence to expect of a larger model is learned from pairs of
  * responses to the same request, by bins of the smaller model's confidence.
@@ -19,9 +19,12 @@
 /* Least confidence of a second response that is accepted. It is lower, as a
  * third run costs more than it gains. */
 #define Sl_MIN_SECOND_CONFIDENCE 40
-/* Share of the latency objective that must be left when the larger model's
- * response begins. With less, the two thresholds fall in proportion. */
-#define Sl_FULL_SLACK_SHARE 0.3
+/* Bounds of the share of the latency objective that must be left when the
+ * larger model's response is expected to begin. Between them it follows from
+ * the error of earlier estimates; while that is not known, it is the largest.
+ * With less left, the two thresholds fall in proportion. */
+#define Sl_MIN_SLACK_SHARE 0.05
+#define Sl_MAX_SLACK_SHARE 0.3
 /* Expected gain in confidence from a larger model, until it is learned. */
 #define Sl_INITIAL_CONFIDENCE_GAIN 10.0
 /* Weight of a new pair of responses in the moving average of the gain. */
@@ -82,13 +85,13 @@
     return last;
 }
 
-/* Returns the share of the route's latency objective that would be left when
- * the response of the model at index `model` begins; negative if it would be
- * late, 0 if no upstream can take the request now, 1 if there is no
- * objective. */
+/* Returns the share of the thresholds that holds for the request: 1 if the
+ * response of the model at index `model` is expected in time, or there is no
+ * objective; 0 if it would be late, or no upstream can take the request now.
+ */
 static double
-slack_share(struct sl_router *router, const struct sl_routed_request *request,
-            size_t model)
+threshold_share(struct sl_router *router,
+                const struct sl_routed_request *request, size_t model)
 {
     int64_t target_latency_us = request->route->target_latency_us;
     struct sl_routed_request next = *request;
@@ -101,9 +104,18 @@
     if (placement.upstream == NULL) {
         return 0;
     }
-    int64_t begins_us = router->now_us + placement.first_event_us;
-    return (double)(request->arrived_us + target_latency_us - begins_us) /
-           (double)target_latency_us;
+    int64_t margin_us;
+    int64_t begins_us =
+        router->now_us +
+        SlLatency_FirstEventUs(router, &request->route->models[model],
+                               placement.first_event_us, &margin_us);
+    double target_us = (double)target_latency_us;
+    double slack =
+        (double)(request->arrived_us + target_latency_us - begins_us) /
+        target_us;
+    return CLAMP(slack / CLAMP((double)margin_us / target_us,
+                               Sl_MIN_SLACK_SHARE, Sl_MAX_SLACK_SHARE),
+                 0, 1);
 }
 
 bool
@@ -118,8 +130,7 @@
         return true;
     }
     size_t next = SlModelCascade_Next(router, request, confidence);
-    double slack = slack_share(router, request, next) / Sl_FULL_SLACK_SHARE;
-    return confidence >= threshold * CLAMP(slack, 0, 1);
+    return confidence >= threshold * threshold_share(router, request, next);
 }
 
 void
--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -148,6 +148,21 @@
     }
 }
 
+/* Compares the time to the head of the response with the one that the
+ * placement expected. */
+static void
+learn_first_event(struct sl_router *router,
+                  const struct sl_routed_request *request, int64_t took_us)
+{
+    const struct sl_upstream_call *call = &request->upstream_call;
+    if (request->service->is_engine && !call->was_cold) {
+        struct sl_name model = {0};
+        (void)SlName_Set(&model, SlRoutedRequest_Model(request));
+        SlLatency_LearnFirstEvent(router, &model, call->uncached_tokens,
+                                  call->first_event_us, took_us);
+    }
+}
+
 /* Updates latency estimates and roll-out evidence with the head of a response,
  * unless the upstream did not produce it by running the request. */
 static void
@@ -167,6 +182,7 @@
         learn_usual_time(router, request, took_us);
     }
     if (is_success(&call->head)) {
+        learn_first_event(router, request, took_us);
         SlUpstreamPace_OnMeasured(router, call, usual_us, took_us);
     }
 }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -144,6 +144,14 @@
 struct sl_latency_estimate {
     double overhead_us;  /* independent of the prompt's length */
     double us_per_token; /* prefill of prompt tokens that are not cached */
+    double us_per_pair;  /* attention of each token to each other one, which
+                            long prompts need beside that */
+    /* Time to the first event as a multiple of what the placement estimated:
+     * its mean, the mean deviation from that, and the number of observations,
+     * which counts up to a bound. */
+    double first_event_ratio;
+    double ratio_deviation;
+    unsigned ratio_count;
 };
 
 /* ---- retry budget ---- */
@@ -341,10 +349,11 @@
     uint64_t token; /* 0: no call is under way */
     struct sl_router_upstream *upstream;
     int64_t sent_us;
-    int64_t progress_us;   /* when it was sent, or its response last made
-                              progress: head, whole event, bytes of a body */
-    int64_t next_check_us; /* next time to check it for a stall; 0: at once */
-    int64_t expected_us;   /* estimated time to its head, when it was sent */
+    int64_t progress_us;    /* when it was sent, or its response last made
+                               progress: head, whole event, bytes of a body */
+    int64_t next_check_us;  /* next time to check it for a stall; 0: at once */
+    int64_t expected_us;    /* estimated time to its head, when it was sent */
+    int64_t first_event_us; /* that time, by the placement: with the load */
     int64_t uncached_tokens; /* prompt tokens that the upstream is estimated
                                 not to have in its prefix cache */
     bool is_prefilling;      /* its prompt counts in the prefill backlog */
@@ -897,6 +906,18 @@
 void SlLatency_LearnPrefill(struct sl_router *router,
                             const struct sl_name *model,
                             int64_t uncached_tokens, int64_t took_us);
+/* Compares a placement's estimate of the time to the first event with the time
+ * that the call took. */
+void SlLatency_LearnFirstEvent(struct sl_router *router,
+                               const struct sl_name *model,
+                               int64_t uncached_tokens, int64_t estimated_us,
+                               int64_t took_us);
+/* Returns a placement's estimate of the time to the first event, corrected by
+ * what earlier ones were worth. Sets `margin_us` to the time by which it may
+ * be longer; Sl_NEVER_US while little is known. */
+int64_t SlLatency_FirstEventUs(const struct sl_router *router,
+                               const struct sl_name *model,
+                               int64_t estimated_us, int64_t *margin_us);
 /* Returns the moving average, in us, of the run time of the service's
  * requests; a default if there was none yet. */
 int64_t SlLatency_MeanRunUs(const struct sl_router *router,
--- a/lib/router/sl_upstream_call.c
+++ b/lib/router/sl_upstream_call.c
@@ -67,6 +67,7 @@
     call->upstream = upstream;
     call->sent_us = router->now_us;
     call->progress_us = router->now_us;
+    call->first_event_us = placement->first_event_us;
     call->next_check_us = 0; /* SlStallMonitor_Watch() sets it */
     call->has_head = false;
     call->has_event = false;
