--- a/tests/unit/sharing_test.cc
+++ b/tests/unit/sharing_test.cc
@@ -340,7 +340,7 @@
     report_all(fleet, 0);
     int sent = 0;
     for (int64_t now_us = 0; now_us < Sl_US_PER_S; now_us += Sl_US_PER_MS) {
-        while (fleet[0].allot(now_us).free_us == 0) {
+        while (fleet[0].allot(now_us).free_us == 0 && sent < 10000) {
             fleet[0].hold(1);
             fleet[0].end(1);
             sent++;
