--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -207,7 +207,7 @@
     return deadline_us - router->now_us;
 }
 
-struct sl_admission
+struct sl_admission_decision
 SlAdmissionControl_Decide(struct sl_admission_pass *pass, size_t index,
                           const struct sl_placement *placement)
 {
@@ -270,7 +270,7 @@
 void
 SlAdmissionControl_Log(struct sl_router *router,
                        const struct sl_routed_request *request,
-                       const struct sl_admission *admission)
+                       const struct sl_admission_decision *admission)
 {
     struct sl_sharing_holding team = SlSharing_Team(
         router->sharing, request->claim.service, request->claim.team);
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -144,7 +144,8 @@
 log_no_upstream(struct sl_router *router,
                 const struct sl_routed_request *request,
                 const struct sl_placement *placement,
-                const struct sl_admission *admission, const char *event)
+                const struct sl_admission_decision *admission,
+                const char *event)
 {
     SlLogLine_BeginFor(router, event, request);
     SlLogLine_Int(router, "serving", placement->serving_count);
@@ -168,7 +169,7 @@
 static void
 refuse(struct sl_router *router, struct sl_routed_request *request,
        const struct sl_placement *placement,
-       const struct sl_admission *admission)
+       const struct sl_admission_decision *admission)
 {
     int64_t wait_us = placement->wait_us;
     int64_t retry_after_us =
@@ -218,7 +219,7 @@
 static bool
 decide_admission(struct sl_queue_dispatch *dispatch, size_t index,
                  const struct sl_placement *placement,
-                 struct sl_admission *admission)
+                 struct sl_admission_decision *admission)
 {
     const struct sl_routed_request *request = dispatch->waiting->pdata[index];
     if (dispatch->pass == NULL || placement->all_backing_off ||
@@ -234,7 +235,7 @@
 static void
 keep_waiting(struct sl_router *router, struct sl_queue_dispatch *dispatch,
              size_t index, const struct sl_placement *placement,
-             const struct sl_admission *admission)
+             const struct sl_admission_decision *admission)
 {
     struct sl_routed_request *request = dispatch->waiting->pdata[index];
     gpointer key = (gpointer)request->service;
@@ -262,7 +263,7 @@
         dispatch->pass == NULL
             ? SlPlacement_Choose(router, request)
             : SlAdmissionControl_Place(dispatch->pass, index);
-    struct sl_admission admission = {.action = Sl_ADMISSION_ADMIT};
+    struct sl_admission_decision admission = {.action = Sl_ADMISSION_ADMIT};
     size_t ahead_count = GPOINTER_TO_SIZE(
         g_hash_table_lookup(dispatch->ahead_counts, request->service));
     if (placement.serving_count > 0) {
@@ -271,7 +272,8 @@
     }
     bool is_decided =
         decide_admission(dispatch, index, &placement, &admission);
-    const struct sl_admission *decided = is_decided ? &admission : NULL;
+    const struct sl_admission_decision *decided =
+        is_decided ? &admission : NULL;
     if (placement.upstream != NULL &&
         would_be_cut(router, request, &placement)) {
         refuse(router, request, &placement, NULL);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1193,7 +1193,7 @@
 struct sl_placement SlAdmissionControl_Place(struct sl_admission_pass *pass,
                                              size_t index);
 /* Decides whether that request is refused; if not, it is sent or waits on. */
-struct sl_admission
+struct sl_admission_decision
 SlAdmissionControl_Decide(struct sl_admission_pass *pass, size_t index,
                           const struct sl_placement *placement);
 /* Handles that the request waits on: it goes before those that follow. */
@@ -1201,7 +1201,7 @@
 /* Adds what decided about the request to the current log line. */
 void SlAdmissionControl_Log(struct sl_router *router,
                             const struct sl_routed_request *request,
-                            const struct sl_admission *admission);
+                            const struct sl_admission_decision *admission);
 /* Handles that the request's call has run to its end. */
 void SlAdmissionControl_OnRan(struct sl_router *router,
                               const struct sl_routed_request *request);
--- a/lib/sharing/sl_admission.c
+++ b/lib/sharing/sl_admission.c
@@ -70,10 +70,10 @@
                             : state->run_us / Sl_REPEATABLE_RUN_PARTS;
 }
 
-struct sl_admission
+struct sl_admission_decision
 SlAdmission_Decide(const struct sl_admission_state *state)
 {
-    struct sl_admission admission = {.action = Sl_ADMISSION_ADMIT};
+    struct sl_admission_decision admission = {.action = Sl_ADMISSION_ADMIT};
     admission.wait_us = wait_here_us(state) + state->upstream_wait_us;
     admission.end_us = admission.wait_us + state->run_us;
     if (admission.wait_us + needed_us(state) > state->time_left_us) {
--- a/lib/sharing/sl_sharing.h
+++ b/lib/sharing/sl_sharing.h
@@ -177,7 +177,7 @@
     Sl_ADMISSION_REFUSE,
 };
 
-struct sl_admission {
+struct sl_admission_decision {
     enum sl_admission_action action;
     const char *reason;     /* REFUSE: a sentence for people, static */
     int64_t wait_us;        /* expected, here and in the upstream's queue */
@@ -186,7 +186,8 @@
 };
 
 /* Decides about a request that waits, or is about to be sent. */
-struct sl_admission SlAdmission_Decide(const struct sl_admission_state *state);
+struct sl_admission_decision
+SlAdmission_Decide(const struct sl_admission_state *state);
 /* Returns the time that a backlog of this many requests takes to clear. */
 int64_t SlAdmission_BacklogUs(int64_t backlog, int64_t run_us,
                               int64_t usable_slots);
