--- a/lib/router/sl_kept_parts.c
+++ b/lib/router/sl_kept_parts.c
@@ -101,6 +101,8 @@
     struct sl_kept_prompt prompt = {0};
     struct sl_kept_memory memory = {
         .tokens = request->service->memory_tokens,
+        .held_tokens =
+            upstream->room != NULL ? SlRoom_HeldTokens(upstream->room) : 0,
         .routers = SlPeers_CountDomain(router, &router->options.domain) + 1,
     };
     set_prompt(request, &prompt);
