admission: requests without a team got the share of one team

Cause: all requests without a team counted as one of 24 teams.

Change: they count as eight teams, by a hash of the request's id.

Result: Shares.RequestsWithoutATeamAreServedLikeThoseOfTeams fails before (14% of the public requests served, 53% of the teams') and passes.

--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -7,6 +7,11 @@
 
 /* Run time of requests to a service without an observation. */
 #define Sl_INITIAL_SLOT_US (50 * Sl_US_PER_MS)
+/* Requests without a team are of many clients that nobody tells apart. They
+ * count as those of this many teams: as one team, all of them would wait for
+ * the share of one. */
+#define Sl_TEAMLESS_CLAIMS 8
+
 /* ---- the pass ---- */
 
 /* A service with waiting requests. */
@@ -46,13 +51,22 @@
     return SlSharing_Key(SlName_Str(name));
 }
 
+/* Returns the key that a request without a team counts for. */
+static uint32_t
+teamless_key(const struct sl_routed_request *request)
+{
+    uint64_t hash = SlHash_Bytes(0, request->incoming.id);
+    return (uint32_t)SlHash_Mix(hash % Sl_TEAMLESS_CLAIMS + 1) | 1;
+}
+
 void
 SlAdmissionControl_OnArrival(struct sl_router *router,
                              struct sl_routed_request *request)
 {
     request->claim = (struct sl_sharing_claim){
         .service = key_of(&request->service->name),
-        .team = request->team == NULL ? 0 : key_of(&request->team->name),
+        .team = request->team == NULL ? teamless_key(request)
+                                      : key_of(&request->team->name),
         .route = key_of(&request->route->name),
         .session = (uint32_t)request->session,
     };
--- a/tests/unit/router_shares.cc
+++ b/tests/unit/router_shares.cc
@@ -23,7 +23,8 @@
     return "k" + std::to_string(team);
 }
 
-// A route for requests that may run once, and teams with a key each.
+// A route for requests that may run once, a public one like it, and teams with
+// a key each.
 struct sl_record
 teams_record(size_t with_keys = teams)
 {
@@ -41,6 +42,10 @@
     route.target_count = 1;
     route.targets = &target;
     SlRouting_AddRoute(record.u.routing, &route, &err);
+    route.name = SlName_Of("public");
+    route.prefix = Sl_STR("/public/");
+    route.is_public = true;
+    SlRouting_AddRoute(record.u.routing, &route, &err);
     for (size_t i = 0; i < teams; i++) {
         struct sl_team team = {};
         team.name = SlName_Of(("t" + std::to_string(i)).c_str());
@@ -75,6 +80,8 @@
   public:
     Fleet fleet;
     std::vector<TeamOutcome> outcomes;
+    // Its requests are on a public route and have no key.
+    size_t public_team = teams;
 
     explicit Load(int upstreams) : outcomes(teams)
     {
@@ -138,10 +145,12 @@
     send(size_t team)
     {
         uint64_t conn = fleet.next_conn();
+        bool is_public = team == public_team;
         sent[conn] = {team, fleet.now()};
         outcomes[team].sent++;
-        fleet.send_request(SlRandom_Below(&random, routers), "/order/x", "",
-                           deadline_ms, "", 0, key_of(team));
+        fleet.send_request(SlRandom_Below(&random, routers),
+                           is_public ? "/public/x" : "/order/x", "",
+                           deadline_ms, "", 0, is_public ? "" : key_of(team));
     }
 
     TeamOutcome
@@ -287,6 +296,25 @@
     EXPECT_GE((double)all.in_time, 0.7 * 10 * Load::capacity(3));
 }
 
+// Public requests are of many clients. Guards against counting them as those
+// of one team, whose share is an eighth of what they send.
+TEST(Shares, RequestsWithoutATeamAreServedLikeThoseOfTeams)
+{
+    Load load(1);
+    load.public_team = 0;
+    std::vector<double> per_s(teams, 20);
+    per_s[0] = 160;
+    load.play(per_s, 10);
+    TeamOutcome with_team = load.sum_of(1, teams);
+    const TeamOutcome &without = load.outcomes[0];
+    EXPECT_GE((double)(without.in_time + without.late) / (double)without.sent,
+              0.5 * (double)(with_team.in_time + with_team.late) /
+                  (double)with_team.sent)
+        << load.text();
+    EXPECT_LE((double)without.failed, 0.01 * (double)without.sent);
+    EXPECT_GE(with_team.share_in_time(), 0.25) << load.text();
+}
+
 // All teams send twice what is left of four upstreams when one ends.
 TEST(Shares, BurstWithAQuarterOfTheUpstreamsGone)
 {
