--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -244,6 +244,12 @@
     runner.address = slot.runner_address;
     runner.domain = slot_domain[index];
     runner.version = version;
+    if (has_unequal_paces) {
+        int64_t pace = index % 3 == 0 ? 2 : 1;
+        runner.pace_percent = 100 * pace;
+        runner.first_byte_ms *= pace;
+        runner.event_interval_ms *= pace;
+    }
     slot.runner.reset();
     slot.runner =
         std::make_unique<RunnerStandin>(base, scheduler, runs, runner);
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -82,6 +82,9 @@
     int64_t config_version = 0;
     std::string max_attempts = "3"; // of every route
     std::string extra_settings;     // lines added to the settings files
+    // Every third runner takes twice as long as the others, and all state
+    // their paces.
+    bool has_unequal_paces = false;
 
     explicit Deployment(const DeploymentOptions &options);
     ~Deployment();
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -685,6 +685,8 @@
 int
 Soak::run()
 {
+    deployment.extra_settings = "Contracts=base,pressure\n";
+    deployment.has_unequal_paces = true;
     deployment.publish_config();
     for (size_t i = 0; i < deployment.slots.size(); i++) {
         deployment.start_runner(i);
--- a/tests/standins/runner.cc
+++ b/tests/standins/runner.cc
@@ -135,6 +135,9 @@
            "\r\n" SL_HEADER "Server-Stamp: stamp-" + run.request +
            "\r\n" SL_HEADER "Runner-Load: " + std::to_string(running_count) +
            ",0," + std::to_string(options.slots) +
+           (options.pace_percent > 0
+                ? "," + std::to_string(options.pace_percent)
+                : "") +
            "\r\n" SL_HEADER "Confidence: " +
            std::to_string(confidence_of(run.request, run.model)) + "\r\n";
 }
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -156,6 +156,9 @@
     int64_t slots = 8;              // requests at once, as it registers
     int64_t first_byte_ms = 20;     // from the request to the response head
     int64_t event_interval_ms = 15; // between the events of a stream
+    // States in its responses how long work takes there, in per cent of the
+    // usual time; 0: it does not.
+    int64_t pace_percent = 0;
 };
 
 // Number of events in the stream of a request; those whose id begins with
