roll-outs: a version was blamed for the slow machines of its upstreams

Operators saw a good version rolled back as slow: its upstreams stood on machines that stated a slow pace, and usual times are those at the usual pace.

Cause: the evidence compared the time as it was with the usual one.

Change: the time is divided by the stated pace, as where usual times are learned.

Result: rollout_slow_machine.script fails before (rolled back with a pace of 300 per cent) and passes; rollout_slow.script, a slow version without a stated pace, is still rolled back.

--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -177,7 +177,9 @@
         return;
     }
     bool failed = call->head.status >= 500;
-    struct sl_response_evidence response = {failed, took_us, usual_us};
+    /* A version is not to blame for the machines that it runs on. */
+    struct sl_response_evidence response = {
+        failed, SlUpstreamPace_UsualUs(call, took_us), usual_us};
     SlRollouts_OnResponse(router, request, &response);
     if (!failed) {
         learn_usual_time(router, request, took_us);
