--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -657,6 +657,7 @@
     Sl_ROUTER_METRIC_TEAM_WAITING,
     Sl_ROUTER_METRIC_LOG_DROPPED,
     Sl_ROUTER_METRIC_ENGINE_TOKENS,
+    Sl_ROUTER_METRIC_UPSTREAM_PACE,
     Sl_ROUTER_METRIC_READERS_BYTES,
     Sl_ROUTER_METRIC_READERS_PAUSED,
     Sl_ROUTER_METRIC_READERS_STALLED,
@@ -1001,6 +1002,8 @@
  * the usual one. */
 void SlUpstreamPace_AddToLog(struct sl_router *router,
                              const struct sl_router_upstream *upstream);
+/* Sets the metric on the pace. */
+void SlUpstreamPace_SetMetrics(struct sl_router *router);
 /* Appends the upstream's pace to its JSON object, if anything is known. */
 void SlUpstreamPace_Dump(const struct sl_router *router,
                          const struct sl_router_upstream *upstream,
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -259,6 +259,13 @@
          "service's engines: mean, largest.",
          {"service", "of"},
          NULL},
+    [Sl_ROUTER_METRIC_UPSTREAM_PACE] =
+        {"sassafrasledge_upstream_pace",
+         Sl_METRIC_GAUGE,
+         "Time that work takes at an upstream over the usual one, as "
+         "estimated; of the service's upstreams: mean, largest.",
+         {"service", "of"},
+         NULL},
     [Sl_ROUTER_METRIC_READERS_BYTES] =
         {"sassafrasledge_client_unread_bytes",
          Sl_METRIC_GAUGE,
@@ -620,6 +627,7 @@
               SlRouter_IsReady(router) ? 1 : 0);
     set_upstreams(router);
     SlEngineRooms_SetMetrics(router);
+    SlUpstreamPace_SetMetrics(router);
     set_teams(router);
     SlMetrics_AppendText(router->metrics, out);
 }
--- a/lib/router/sl_upstream_pace.c
+++ b/lib/router/sl_upstream_pace.c
@@ -116,6 +116,43 @@
     }
 }
 
+static void
+set_service_metrics(struct sl_router *router, const struct sl_name *service)
+{
+    const struct sl_name mean = SlName_Of("mean");
+    const struct sl_name largest = SlName_Of("largest");
+    double sum = 0;
+    double most = 0;
+    int64_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_upstream *upstream = value;
+        if (SlName_Equal(&upstream->registration.service, service)) {
+            double factor = SlUpstreamPace_Factor(router, upstream);
+            sum += factor;
+            most = MAX(most, factor);
+            count++;
+        }
+    }
+    SlMetrics_Set(router->metrics, Sl_ROUTER_METRIC_UPSTREAM_PACE, service,
+                  &mean, count > 0 ? sum / (double)count : 0);
+    SlMetrics_Set(router->metrics, Sl_ROUTER_METRIC_UPSTREAM_PACE, service,
+                  &largest, most);
+}
+
+void
+SlUpstreamPace_SetMetrics(struct sl_router *router)
+{
+    for (size_t i = 0; router->routing != NULL &&
+                       i < SlRouting_ServiceCount(router->routing);
+         i++) {
+        set_service_metrics(router,
+                            &SlRouting_Service(router->routing, i)->name);
+    }
+}
+
 /* ---- digests ---- */
 
 /* Adds the report to the digest, instead of the oldest one if it is full. */
