roll-outs: a router that found a completed version bad refused all requests

Cause: the router found the target bad in the event in which another router's status completed the roll-out. It sent to the baseline alone from then on, whose upstreams are stopped at that moment.

Change: once the store's status says that a roll-out is over, that decides, and not the router's own verdict.

Result: rollout_verdict_completed.script fails before (503, no upstream) and passes.

--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -199,9 +199,10 @@
     if (rollout == NULL) {
         return Sl_VERSION_ANY;
     }
-    if (rollout->is_suspect ||
-        (rollout->has_stored_status &&
-         rollout->stored_state == Sl_ROLLOUT_ROLLED_BACK)) {
+    /* The baseline of a completed roll-out is stopped, so that a verdict comes
+     * too late. */
+    if (is_over(rollout) ? rollout->stored_state == Sl_ROLLOUT_ROLLED_BACK
+                         : rollout->is_suspect) {
         return Sl_VERSION_BASELINE;
     }
     if (count_upstreams(router, rollout, &baseline_count) == 0) {
