metrics: holdings of teams that are gone went on, those without a team were nowhere

Operators saw what a team held last after the configuration had dropped it, and what a silent peer held until the next request came; requests without a team were in no series.

Cause: gauges keep their last value; 'other' summed up the configuration's teams.

Change: the gauges start from 0 at each scrape, old reports are dropped first, and 'other' is what the listed teams leave of the service. Refusals without a team count as 'other'.

--- a/lib/common/sl_common.h
+++ b/lib/common/sl_common.h
@@ -274,6 +274,8 @@
 void SlMetrics_Set(struct sl_metrics *metrics, size_t metric,
                    const struct sl_name *label1, const struct sl_name *label2,
                    double value);
+/* Sets all series of a gauge to 0. */
+void SlMetrics_ZeroAll(struct sl_metrics *metrics, size_t metric);
 /* Adds an observation to a histogram. */
 void SlMetrics_Observe(struct sl_metrics *metrics, size_t metric,
                        const struct sl_name *label1,
--- a/lib/common/sl_metrics.c
+++ b/lib/common/sl_metrics.c
@@ -152,6 +152,16 @@
     find_or_add_series(metrics, metric, label1, label2)->value = value;
 }
 
+void
+SlMetrics_ZeroAll(struct sl_metrics *metrics, size_t metric)
+{
+    GArray *list = metrics->series[metric];
+    assert(metrics->defs[metric].type == Sl_METRIC_GAUGE);
+    for (guint i = 0; i < list->len; i++) {
+        g_array_index(list, struct sl_series, i).value = 0;
+    }
+}
+
 void
 SlMetrics_Observe(struct sl_metrics *metrics, size_t metric,
                   const struct sl_name *label1, const struct sl_name *label2,
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -359,10 +359,11 @@
 SlRouterMetrics_OnTeamRefused(struct sl_router *router,
                               const struct sl_routed_request *request)
 {
-    if (request->team != NULL) {
-        SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_TEAM_REFUSALS,
-                      &request->service->name, &request->team->name, 1);
-    }
+    struct sl_name other_label = SlName_Of("other");
+    SlMetrics_Add(router->metrics, Sl_ROUTER_METRIC_TEAM_REFUSALS,
+                  &request->service->name,
+                  request->team != NULL ? &request->team->name : &other_label,
+                  1);
 }
 
 void
@@ -562,31 +563,30 @@
 {
     uint32_t key = SlSharing_Key(SlName_Str(service));
     size_t count = SlRouting_TeamCount(router->routing);
-    struct sl_sharing_holding others = {0};
+    struct sl_sharing_holding others = SlSharing_Service(router->sharing, key);
     struct sl_name other_label = SlName_Of("other");
-    for (size_t i = 0; i < count; i++) {
+    for (size_t i = 0; i < MIN(count, series); i++) {
         const struct sl_name *team = &SlRouting_Team(router->routing, i)->name;
         struct sl_sharing_holding holding = SlSharing_Team(
             router->sharing, key, SlSharing_Key(SlName_Str(team)));
-        if (i < series) {
-            set_team(router, service, team, &holding);
-        }
-        else {
-            others.held += holding.held;
-            others.waiting += holding.waiting;
-        }
-    }
-    if (count > series) {
-        set_team(router, service, &other_label, &others);
+        set_team(router, service, team, &holding);
+        others.held -= holding.held;
+        others.waiting -= holding.waiting;
     }
+    set_team(router, service, &other_label, &others);
 }
 
 static void
 set_teams(struct sl_router *router)
 {
+    /* Teams that the configuration no longer has keep their series. */
+    SlMetrics_ZeroAll(router->metrics, Sl_ROUTER_METRIC_TEAM_HELD);
+    SlMetrics_ZeroAll(router->metrics, Sl_ROUTER_METRIC_TEAM_WAITING);
     if (!SlAdmissionControl_IsOn(router)) {
         return;
     }
+    SlSharing_Expire(router->sharing, router->now_us,
+                     SlPeers_SilentUs(router));
     size_t services = SlRouting_ServiceCount(router->routing);
     for (size_t i = 0; i < services; i++) {
         set_teams_of(router, &SlRouting_Service(router->routing, i)->name,
