admission: one answer for a full service holds after a roll-out, too

Cause: a roll-out that is over restricts all requests alike, and yet each waiting one walked all upstreams.

Change: only a running roll-out tells requests apart. hashed_cost_us() uses SlHash_Fraction(); a comment of a script tells no story.

--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -149,7 +149,7 @@
 {
     return request->route->region_count == 0 &&
            (request->team == NULL || request->team->region_count == 0) &&
-           SlRollouts_VersionRule(router, request) == Sl_VERSION_ANY;
+           !SlRollouts_IsRunning(router, &request->service->name);
 }
 
 /* Returns true if the request's team wants more than its fair share. */
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -206,8 +206,7 @@
 {
     uint64_t weight =
         SlHash_Bytes(hash, SlName_Str(&upstream->registration.id));
-    /* The hash as a fraction, 0 to 1. */
-    return (int64_t)((double)largest_us * (double)(weight >> 11) * 0x1.0p-53);
+    return (int64_t)((double)largest_us * SlHash_Fraction(weight));
 }
 
 /* Returns the cost of reading the prompt's shared parts away from their home;
