--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -17,7 +17,7 @@
 }
 trap finish EXIT
 
-timeout 110 target/review-2/leaving_unheard target/programs/sassafrasd \
+timeout 110 target/review-2/tenants_taken_away target/programs/sassafrasd \
     "$temporary" "$folder/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
--- a/review/standins-2/small.cc
+++ b/review/standins-2/small.cc
@@ -269,9 +269,9 @@
                                  const std::string &the_dir,
                                  const std::string &record_path,
                                  const std::vector<std::string> &zones)
-    : base(event_base_new()), scheduler(base), program(the_program),
-      dir(the_dir), record(fopen(record_path.c_str(), "w")),
-      started_ms(now_ms())
+    : base(event_base_new()), scheduler(base), key(api_key),
+      program(the_program), dir(the_dir),
+      record(fopen(record_path.c_str(), "w")), started_ms(now_ms())
 {
     struct sl_http_client_options options = {};
     options.base = base;
@@ -493,7 +493,7 @@
         "GET " + path +
             " HTTP/1.1\r\nHost: ficu95.example\r\n" SL_HEADER "Request-Id: " +
             id + "\r\n" SL_HEADER "Deadline-Ms: 2500\r\n" SL_HEADER "Key: " +
-            api_key + "\r\n",
+            key + "\r\n",
         new Call{this, false, {id, index, now_ms(), 0}});
 }
 
@@ -564,13 +564,17 @@
                         "\",\"HealthPath\":\"/healthz\",\"MaxConns\":110}";
         }
     }
+    std::string tenants =
+        has_tenant ? std::string("{\"Name\":\"hule930\",\"ApiKeys\":[\"") +
+                         api_key + "\"]}"
+                   : "";
     store->put("keyed.op", "config",
                "{\"Version\":" + std::to_string(version) + ",\"Services\":[" +
-                   services + "],\"Routes\":[" + routes +
-                   "],\"Tenants\":[{\"Name\":\"hule930\",\"ApiKeys\":[\"" +
-                   api_key +
-                   "\"]}],\"Limits\":{\"MaxHeaderBytes\":16384,"
+                   services + "],\"Routes\":[" + routes + "],\"Tenants\":[" +
+                   tenants +
+                   "],\"Limits\":{\"MaxHeaderBytes\":16384,"
                    "\"MaxBodyBytes\":1048576,\"HeaderTimeoutMs\":3000,"
                    "\"IdleTimeoutMs\":15000}}");
-    note("confirmed manifest=%lld", (long long)version);
+    note("confirmed manifest=%lld tenants=%d", (long long)version,
+         has_tenant ? 1 : 0);
 }
--- a/review/standins-2/small.h
+++ b/review/standins-2/small.h
@@ -112,6 +112,8 @@
     std::vector<std::unique_ptr<PlainRunner>> runners;
     std::vector<Arrival> arrivals;
     std::vector<Answer> answers;
+    std::string key;        // that consumers send
+    bool has_tenant = true; // in the manifests that are published
 
     // `zones`: one of each router. `dir` holds settings and logs;
     // `record_path` gets what was sent, answered and run.
