router: what upstreams state of their rate is read and logged

An upstream in need names in its responses how many requests a second it takes from all routers together (Server-Limit).

The header is decoded in platform/ and no longer forwarded. The router logs upstream_limited and upstream_unlimited, and a value that cannot be parsed (limit_odd); the state dump and sassafrasledge_upstreams show "limited". No decision depends on it yet.

A response without a limit ends it only if its request was sent after the newest response that stated one, so that a response that has waited in a socket does not.

--- a/lib/router/sl_responses.c
+++ b/lib/router/sl_responses.c
@@ -249,6 +249,7 @@
     call->head.headers = SlBuf_Str(&call->headers);
     SlUpstreams_OnReportedLoad(router, call->upstream, head);
     SlUpstreamNotices_OnHead(router, call->upstream, head);
+    SlUpstreamLimits_OnHead(router, call, head);
     SlUpstreams_OnPrefillDone(router, call->upstream, call);
     int64_t usual_us = usual_time_us(router, request);
     log_head(router, request, usual_us);
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -246,6 +246,11 @@
                              usual time; 0: not given */
     int confidence;       /* 0 to 100; -1: not given */
     bool is_leaving;      /* the upstream will soon refuse requests */
+    /* The upstream limits the requests a second that it takes from all routers
+     * together, to `limit_per_s`. */
+    bool has_limit;
+    double limit_per_s;
+    bool limit_is_invalid;       /* a limit was given, but is unusable */
     int64_t retry_after_us;      /* 0: not given */
     bool retry_after_is_invalid; /* Retry-After was given, but is unusable */
     int64_t cold_us; /* remaining time of the cold start; 0: warm; -1: not
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -34,6 +34,7 @@
  * sl_peers.c             the other routers
  * sl_upstreams.c         state of upstreams
  * sl_upstream_notices.c  announcements that upstreams make in responses
+ * sl_upstream_limits.c   limits that they state there on their rate
  * sl_upstream_pace.c     how long work takes at upstreams, as against usual
  * sl_latency_estimate.c  estimates of prefill and run times
  * sl_event_splitter.c    splits a stream into events
@@ -61,6 +62,13 @@
 
 /* ---- upstreams ---- */
 
+/* What an upstream has stated about the rate of requests that it takes. */
+struct sl_stated_limit {
+    /* Requests a second, from all routers together; 0: not limited. */
+    double per_s;
+    int64_t stated_us; /* when it stated that; 0: never */
+};
+
 /* Health checks of an upstream with a stalled call. */
 struct sl_health_check {
     uint64_t token;            /* of the check under way; 0: none */
@@ -100,10 +108,11 @@
     bool leaving_is_local;    /* it announced that to this router, not only to
                                  a peer */
     int64_t backoff_until_us; /* it asked for no request until then */
-    unsigned failures;        /* consecutive ones, seen by this router */
-    int64_t in_flight;        /* calls of this router under way */
-    int64_t suspect_calls;    /* those of them that are suspects */
-    int64_t last_bytes_us;    /* when any call last got bytes from it */
+    struct sl_stated_limit limit;
+    unsigned failures;     /* consecutive ones, seen by this router */
+    int64_t in_flight;     /* calls of this router under way */
+    int64_t suspect_calls; /* those of them that are suspects */
+    int64_t last_bytes_us; /* when any call last got bytes from it */
     /* When any call last got an event that is not the first of its stream.
      * First events may arrive while the other streams are stalled by
      * prefill. */
@@ -136,6 +145,7 @@
     /* `leave_announced_us` by the wall clock. */
     int64_t leave_announced_wall_ms;
     int64_t backoff_until_us; /* it asked for no request until then */
+    struct sl_stated_limit limit;
 };
 
 /* ---- latency estimates ---- */
@@ -895,6 +905,10 @@
 void SlUpstreamNotices_OnHead(struct sl_router *router,
                               struct sl_router_upstream *upstream,
                               const struct sl_response_head *head);
+/* Returns the notice of the upstream; adds an empty one if there is none. */
+struct sl_upstream_notice *
+SlUpstreamNotices_GetOrAdd(struct sl_router *router,
+                           const struct sl_router_upstream *upstream);
 /* Handles the report of the peer `reporter` that the upstream announced,
  * `age_us` ago, that it leaves. */
 void SlUpstreamNotices_OnReportedLeaving(struct sl_router *router,
@@ -915,6 +929,17 @@
 /* Removes notices of upstreams that are long gone. */
 void SlUpstreamNotices_Sweep(struct sl_router *router);
 
+/* ---- limits of upstreams ---- */
+
+/* Handles the head of the call's response, in which the upstream may state a
+ * limit. */
+void SlUpstreamLimits_OnHead(struct sl_router *router,
+                             const struct sl_upstream_call *call,
+                             const struct sl_response_head *head);
+/* Handles that another instance has the upstream's id. */
+void SlUpstreamLimits_OnReplaced(struct sl_router *router,
+                                 struct sl_router_upstream *upstream);
+
 /* ---- cold upstreams ---- */
 
 /* A cold upstream has just started, and can take fewer requests than later.
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -183,8 +183,8 @@
         {"sassafrasledge_upstreams",
          Sl_METRIC_GAUGE,
          "Registered upstreams; state: usable, shunned, "
-         "quiet, cold, draining, leaving, replaced, "
-         "evacuated.",
+         "quiet, cold, limited, draining, leaving, "
+         "replaced, evacuated.",
          {"service", "state"},
          NULL},
     [Sl_ROUTER_METRIC_FLEET] =
@@ -512,9 +512,9 @@
 static void
 set_upstreams(struct sl_router *router)
 {
-    static const char *const states[] = {"usable",   "shunned",  "quiet",
-                                         "cold",     "draining", "leaving",
-                                         "replaced", "evacuated"};
+    static const char *const states[] = {"usable",  "shunned",  "quiet",
+                                         "cold",    "limited",  "draining",
+                                         "leaving", "replaced", "evacuated"};
     GHashTableIter iter;
     gpointer value;
     /* Sets all states of each service to 0 first: some have no upstream. */
--- a/lib/router/sl_upstream_notices.c
+++ b/lib/router/sl_upstream_notices.c
@@ -1,6 +1,7 @@
 /*
  * Notices: announcements that upstreams make in their responses, that they
- * leave, or that they need back-off for a time.
+ * leave, or that they need back-off for a time. Limits on their rate are kept
+ * here as well, see sl_upstream_limits.c.
  *
  * The store may learn of a notice later, or be unavailable. So a notice has
  * precedence over the upstream's registration, and outlives it, since an old
@@ -26,10 +27,9 @@
 
 /* ---- notices ---- */
 
-/* Returns the notice of the upstream; adds an empty one if there is none. */
-static struct sl_upstream_notice *
-get_or_add_notice(struct sl_router *router,
-                  const struct sl_router_upstream *upstream)
+struct sl_upstream_notice *
+SlUpstreamNotices_GetOrAdd(struct sl_router *router,
+                           const struct sl_router_upstream *upstream)
 {
     struct sl_upstream_notice *notice = g_hash_table_lookup(
         router->upstream_notices, &upstream->registration.id);
@@ -65,6 +65,7 @@
     return router->now_us - notice->leave_announced_us >
                Sl_NOTICE_LIFETIME_US &&
            router->now_us > notice->backoff_until_us &&
+           router->now_us - notice->limit.stated_us > Sl_NOTICE_LIFETIME_US &&
            !g_hash_table_contains(router->upstreams, &notice->id);
 }
 
@@ -88,6 +89,7 @@
     /* The new instance may have asked for back-off before its registration was
      * read. */
     upstream->backoff_until_us = notice->backoff_until_us;
+    upstream->limit = notice->limit;
     if (notice->leave_announced_us != 0 &&
         is_newer_instance(notice, &upstream->registration)) {
         notice->leave_announced_us = 0;
@@ -127,7 +129,8 @@
     if (upstream->leave_announced_us != 0 && upstream->leaving_is_local) {
         return;
     }
-    struct sl_upstream_notice *notice = get_or_add_notice(router, upstream);
+    struct sl_upstream_notice *notice =
+        SlUpstreamNotices_GetOrAdd(router, upstream);
     notice->start_wall_ms = upstream->registration.start_wall_ms;
     notice->sequence = upstream->registration.sequence;
     notice->leave_announced_us = router->now_us;
@@ -185,7 +188,8 @@
 on_backoff(struct sl_router *router, struct sl_router_upstream *upstream,
            int64_t for_us)
 {
-    struct sl_upstream_notice *notice = get_or_add_notice(router, upstream);
+    struct sl_upstream_notice *notice =
+        SlUpstreamNotices_GetOrAdd(router, upstream);
     if (!SlUpstreamNotices_IsBackingOff(router, upstream)) {
         SlLogLine_Begin(router, "upstream_quiet");
         SlLogLine_Name(router, "upstream", &upstream->registration.id);
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -151,6 +151,7 @@
     upstream->ejected_until_us = 0;
     SlEngineRooms_OnReplaced(router, upstream);
     SlEngineEnds_OnReplaced(router, upstream);
+    SlUpstreamLimits_OnReplaced(router, upstream);
     SlUpstreamNotices_OnUpstreamStart(router, upstream);
 }
 
@@ -289,7 +290,10 @@
     if (upstream->ejected_until_us > router->now_us) {
         return "shunned";
     }
-    return upstream->cold_until_us > router->now_us ? "cold" : "usable";
+    if (upstream->cold_until_us > router->now_us) {
+        return "cold";
+    }
+    return upstream->limit.per_s > 0 ? "limited" : "usable";
 }
 
 /* ---- load ---- */
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -403,6 +403,33 @@
     }
 }
 
+TEST_F(PlatformHeaders, ServerLimitIsDecodedAndNotForwarded)
+{
+    const struct {
+        const char *value;
+        bool is_valid;
+        double per_s;
+    } cases[] = {
+        {"1", true, 1},           {"1.1", true, 1.1},   {"0", true, 0},
+        {"0.25", true, 0.25},     {"2500", true, 2500}, {"1e300", true, 1e9},
+        {"-1", false, 0},         {"", false, 0},       {"nan", false, 0},
+        {"1 a second", false, 0},
+    };
+    for (const auto &test_case : cases) {
+        struct sl_response_head response;
+        head.header_count = 0;
+        SlBuf_Clear(&forwarded);
+        head.status = 200;
+        add_header(&head, "Server-Limit", test_case.value);
+        add_header(&head, "X-Other", "1");
+        SlPlatform_DecodeResponse(&head, &forwarded, &response);
+        EXPECT_EQ(response.has_limit, test_case.is_valid) << test_case.value;
+        EXPECT_EQ(response.limit_is_invalid, !test_case.is_valid);
+        EXPECT_EQ(response.limit_per_s, test_case.per_s) << test_case.value;
+        EXPECT_EQ(text(response.headers), "X-Other: 1\r\n");
+    }
+}
+
 /* ---- records ---- */
 
 class PlatformRecords : public testing::Test {
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -45,11 +45,10 @@
 //       and a further part of its own
 //   disconnect CONN         the client disconnects
 //   head CONN STATUS [stamp] [not-run] [wrong-instance] [confidence=]
-//     [leaving] [load=RUNNING,WAITING] [pace=PERCENT] [retry=]
-//     [invalid-retry]
+//     [leaving] [limit=PER_S] [load=RUNNING,WAITING] [pace=PERCENT]
+//     [retry=] [invalid-retry] [invalid-limit]
 //       response head; stamp: it has the upstream's signature; wrong-instance:
-//       another upstream has this address; invalid-retry: the Retry-After
-//       field is invalid
+//       another upstream has this address; invalid-...: the field is invalid
 //   chunk CONN TEXT         next bytes of the response
 //   paused CONN | resumed CONN
 //       the response is read no further, or again: the client is slow
@@ -708,6 +707,9 @@
         head.wrong_instance = args.has_word("wrong-instance");
         head.confidence = (int)args.number("confidence", -1);
         head.is_leaving = args.has_word("leaving");
+        head.has_limit = !args.str("limit").empty();
+        head.limit_per_s = head.has_limit ? std::stod(args.str("limit")) : 0;
+        head.limit_is_invalid = args.has_word("invalid-limit");
         head.retry_after_us = args.number("retry") * Sl_US_PER_MS;
         head.retry_after_is_invalid = args.has_word("invalid-retry");
         head.cold_us = -1;
