tests: fleets send an upstream more than the limit that it has stated

While all upstreams of a service are limited, nobody is refused at once, as nobody keeps to the limits.

The bound is the rule's: 1.5 times what the limit allows in 4 s, and 5.

--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -60,6 +60,11 @@
     std::function<void(size_t, size_t)> on_full_transfer;
     // Load that an upstream states in its responses; not set: none.
     std::function<int64_t(const std::string &)> load_of;
+    // Requests a second that an upstream states as its limit; negative or not
+    // set: none.
+    std::function<double(const std::string &)> limit_of;
+    // A router has the head of a response to its call.
+    std::function<void(const FleetCall &)> on_head;
     // Called with the id of an upstream whose process has ended.
     std::function<void(const std::string &)> on_upstream_end;
     // Digests are encoded and decoded, which leaves out what does not fit.
@@ -72,6 +77,8 @@
     // VMs that a starting router contacts first.
     std::vector<std::string> seeds;
     bool guards_memory = false; // option of the routers
+    // By how much the wall clock of each router is ahead of the one before.
+    int64_t wall_step_ms = 0;
 
     void
     start(size_t count, const struct sl_bounds &bounds)
@@ -82,6 +89,7 @@
             router.now_us = now_us;
             router.seeds = seeds;
             router.guards_memory = guards_memory;
+            router.wall_ahead_ms = wall_step_ms * (int64_t)i;
             router.on_effect = [this,
                                 i](const struct sl_router_effect &effect) {
                 take(i, effect);
@@ -615,6 +623,11 @@
             head.has_load = true;
             head.running = load_of(due.call.upstream);
         }
+        head.limit_per_s = limit_of ? limit_of(due.call.upstream) : -1;
+        head.has_limit = head.limit_per_s >= 0;
+        if (on_head) {
+            on_head(due.call);
+        }
         struct sl_router_event event =
             router.make_event(Sl_ROUTER_EVENT_RESPONSE_HEAD);
         event.u.response.token = due.call.token;
--- a/tests/unit/router_simulation.h
+++ b/tests/unit/router_simulation.h
@@ -145,6 +145,7 @@
     std::vector<std::string> seeds;    // VMs that the router contacts first
     bool is_first_start = false;       // option of the router
     bool guards_memory = false;        // option of the router
+    int64_t wall_ahead_ms = 0;         // error of the wall clock
     struct sl_router *router = nullptr;
     std::function<void(const struct sl_router_effect &)> on_effect;
 
@@ -215,7 +216,7 @@
         struct sl_router_event event = {};
         event.type = type;
         event.now_us = now_us;
-        event.wall_ms = 1700000000000 + now_us / Sl_US_PER_MS;
+        event.wall_ms = 1700000000000 + now_us / Sl_US_PER_MS + wall_ahead_ms;
         return event;
     }
 
