router: the fleet keeps to the rate that an upstream states

The class: what one upstream takes from all routers together. The rule for cold upstreams does not serve here: it splits a rate equally and, at low rates, lets only some routers send; a router with most of the traffic would have a fraction of the rate, and while all upstreams are limited, routers without a part would refuse everything.

Change: digests report limits and that they have ended, and while a service has limited upstreams, the demand at each router. The routers split the rate in proportion to the demand. Time is divided into numbered slots, one a request; each is owned by one router, found without coordination, and expires 1 s and a slot later, so that any 4 s hold at most the slots of 5 s and two. The wait for a limited service is computed from the router's own slots: what does not fit in time is refused at once.

Digests have two more lists: their version is 9.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -9,7 +9,7 @@
 
 /* Upper bounds of encoded sizes. Sl_FIXED_BYTES is that of a digest without
  * its names, and the items of its arrays and of its quarantine. */
-#define Sl_FIXED_BYTES 174
+#define Sl_FIXED_BYTES 178
 #define Sl_NAME_HEAD_BYTES 2 /* of a name without its text */
 #define Sl_FAULT_BYTES 9
 #define Sl_TALLY_BYTES 48
@@ -17,6 +17,8 @@
 #define Sl_SHARE_BYTES 17
 #define Sl_PACE_BYTES 14
 #define Sl_KEPT_PART_BYTES 16
+#define Sl_LIMIT_BYTES 16
+#define Sl_DEMAND_BYTES 11
 #define Sl_SESSION_BYTES 5
 #define Sl_END_BYTES 19
 #define Sl_SUSPECT_BYTES 6
@@ -34,11 +36,13 @@
 #define Sl_AGE_STEP_MS 10
 
 /* Numbers of items in the encoded arrays. */
-#define Sl_DIGEST_FIELDS 18
+#define Sl_DIGEST_FIELDS 20
 #define Sl_LOAD_FIELDS 4
 #define Sl_SHARE_FIELDS 4
 #define Sl_PACE_FIELDS 3
 #define Sl_KEPT_PART_FIELDS 3
+#define Sl_LIMIT_FIELDS 3
+#define Sl_DEMAND_FIELDS 2
 #define Sl_ROLLOUT_FIELDS 9
 #define Sl_TALLY_FIELDS 15
 #define Sl_QUARANTINE_FIELDS 3
@@ -259,6 +263,31 @@
     }
 }
 
+static void
+pack_limits(msgpack_packer *packer, const struct sl_gossip_limit *limits,
+            size_t count)
+{
+    msgpack_pack_array(packer, count);
+    for (size_t i = 0; i < count; i++) {
+        msgpack_pack_array(packer, Sl_LIMIT_FIELDS);
+        msgpack_pack_uint32(packer, limits[i].upstream);
+        msgpack_pack_uint32(packer, limits[i].per_1000_s);
+        msgpack_pack_uint32(packer, limits[i].age_ms);
+    }
+}
+
+static void
+pack_demands(msgpack_packer *packer, const struct sl_gossip_demand *demands,
+             size_t count)
+{
+    msgpack_pack_array(packer, count);
+    for (size_t i = 0; i < count; i++) {
+        msgpack_pack_array(packer, Sl_DEMAND_FIELDS);
+        msgpack_pack_uint32(packer, demands[i].service);
+        msgpack_pack_uint32(packer, demands[i].requests);
+    }
+}
+
 /* Returns how many items of `item_bytes` fit into the bytes that remain, and
  * takes these. */
 static size_t
@@ -293,6 +322,10 @@
     free_bytes -= tally_bytes;
     struct sl_gossip_quarantine quarantine = digest->quarantine;
     fit_quarantine(&quarantine, &free_bytes);
+    size_t demand_count =
+        fit_items(digest->demand_count, Sl_DEMAND_BYTES, &free_bytes);
+    size_t limit_count =
+        fit_items(digest->limit_count, Sl_LIMIT_BYTES, &free_bytes);
     size_t share_count =
         fit_items(digest->share_count, Sl_SHARE_BYTES, &free_bytes);
     size_t load_count =
@@ -342,6 +375,8 @@
     pack_shares(packer, digest->shares, share_count);
     pack_paces(packer, digest->paces, pace_count);
     pack_kept_parts(packer, digest->kept_parts, kept_part_count);
+    pack_limits(packer, digest->limits, limit_count);
+    pack_demands(packer, digest->demands, demand_count);
 }
 
 static int
@@ -621,6 +656,34 @@
     return items.ok;
 }
 
+static bool
+decode_limits(struct sl_array_reader items, struct sl_gossip_digest *digest)
+{
+    while (items.ok && items.remaining > 0) {
+        struct sl_array_reader fields = next_array(&items, Sl_LIMIT_FIELDS);
+        struct sl_gossip_limit *limit = &digest->limits[digest->limit_count++];
+        limit->upstream = next_uint32(&fields);
+        limit->per_1000_s = next_uint32(&fields);
+        limit->age_ms = next_uint32(&fields);
+        items.ok = items.ok && fields.ok;
+    }
+    return items.ok;
+}
+
+static bool
+decode_demands(struct sl_array_reader items, struct sl_gossip_digest *digest)
+{
+    while (items.ok && items.remaining > 0) {
+        struct sl_array_reader fields = next_array(&items, Sl_DEMAND_FIELDS);
+        struct sl_gossip_demand *demand =
+            &digest->demands[digest->demand_count++];
+        demand->service = next_uint32(&fields);
+        demand->requests = next_uint32(&fields);
+        items.ok = items.ok && fields.ok;
+    }
+    return items.ok;
+}
+
 static bool
 decode_digest(struct sl_array_reader fields, struct sl_gossip_digest *digest)
 {
@@ -672,7 +735,9 @@
         decode_shares(next_array(&fields, Sl_GOSSIP_MAX_SHARES), digest) &&
         decode_paces(next_array(&fields, Sl_GOSSIP_MAX_PACES), digest) &&
         decode_kept_parts(next_array(&fields, Sl_GOSSIP_MAX_KEPT_PARTS),
-                          digest);
+                          digest) &&
+        decode_limits(next_array(&fields, Sl_GOSSIP_MAX_LIMITS), digest) &&
+        decode_demands(next_array(&fields, Sl_GOSSIP_MAX_DEMANDS), digest);
     return is_quarantine_ok && are_lists_ok && fields.ok && offsets.ok &&
            loads.ok && faults.ok && rollouts.ok &&
            !SlName_IsEmpty(&digest->vm) && digest->boot != 0;
@@ -756,6 +821,10 @@
         digest->kept_parts[i].age_ms =
             add_saturating(digest->kept_parts[i].age_ms, ms);
     }
+    for (size_t i = 0; i < digest->limit_count; i++) {
+        digest->limits[i].age_ms =
+            add_saturating(digest->limits[i].age_ms, ms);
+    }
 }
 
 /* ---- peer lists ---- */
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -21,7 +21,7 @@
 #include "sl_common.h"
 
 /* Datagrams of another version are rejected. */
-#define Sl_GOSSIP_VERSION 8
+#define Sl_GOSSIP_VERSION 9
 /* Largest datagram. It fits into the payload of one Ethernet frame, so that it
  * is not fragmented. */
 #define Sl_GOSSIP_MAX_BYTES 1400
@@ -42,6 +42,8 @@
 #define Sl_GOSSIP_MAX_SHARES 12
 #define Sl_GOSSIP_MAX_PACES 12
 #define Sl_GOSSIP_MAX_KEPT_PARTS 12
+#define Sl_GOSSIP_MAX_LIMITS 4
+#define Sl_GOSSIP_MAX_DEMANDS 2
 
 /* Least pace of a response that is reported. */
 #define Sl_GOSSIP_MIN_PACE (-1)
@@ -86,6 +88,20 @@
     uint32_t age_ms;   /* since the sender last sent a prompt with it there */
 };
 
+/* What an upstream has stated about the rate of requests that it takes. */
+struct sl_gossip_limit {
+    uint32_t upstream;   /* hash of its id */
+    uint32_t per_1000_s; /* requests in 1,000 s, of all routers together; 0:
+                            not limited */
+    uint32_t age_ms;     /* since it stated that */
+};
+
+/* What clients want of a service with limited upstreams through the sender. */
+struct sl_gossip_demand {
+    uint32_t service;  /* hash of its name */
+    uint32_t requests; /* in the last window of the retry budget */
+};
+
 /* What is wrong with an upstream. */
 enum sl_gossip_fault_kind {
     Sl_FAULT_FAILING,
@@ -226,13 +242,17 @@
     struct sl_gossip_pace paces[Sl_GOSSIP_MAX_PACES];
     size_t kept_part_count;
     struct sl_gossip_kept_part kept_parts[Sl_GOSSIP_MAX_KEPT_PARTS];
+    size_t limit_count;
+    struct sl_gossip_limit limits[Sl_GOSSIP_MAX_LIMITS];
+    size_t demand_count;
+    struct sl_gossip_demand demands[Sl_GOSSIP_MAX_DEMANDS];
 };
 
 /* ---- 2. Codec --------------------------------------------------------- */
 
 /* Appends the encoded digest to `out`. Tallies, items of the quarantine,
- * shares, loads, paces, kept parts and then sessions that do not fit into
- * Sl_GOSSIP_MAX_BYTES are left out. */
+ * demands, limits, shares, loads, paces, kept parts and then sessions that do
+ * not fit into Sl_GOSSIP_MAX_BYTES are left out. */
 void SlGossip_Encode(const struct sl_gossip_digest *digest,
                      struct sl_buf *out);
 /* Decodes one datagram. Returns Sl_OK; or Sl_ERR_INVALID, with the reason in
--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -248,6 +248,7 @@
         .interval_us = is_above ? service->allotment.interval_us
                                 : SlAdmission_BacklogUs(
                                       1, run_us, placement->usable_slots),
+        .limited_interval_us = placement->limited_interval_us,
         .backlog = SlSharing_Service(router->sharing, service->key).waiting,
         .upstream_wait_us =
             request->service->is_engine
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -120,6 +120,7 @@
     digest->staleness_ms = SlFeeds_StalenessMs(router);
     fill_loads(router, digest);
     fill_faults(router, digest);
+    SlUpstreamLimits_AddToDigest(router, digest);
     SlUpstreamPace_AddToDigest(router, digest);
     digest->rollout_count = 0;
     SlRollouts_AddToDigest(router, digest);
@@ -523,6 +524,7 @@
     for (size_t i = 0; i < digest->fault_count; i++) {
         SlUpstreams_OnReportedFault(router, &digest->vm, &digest->faults[i]);
     }
+    SlUpstreamLimits_OnDigest(router, digest);
     SlUpstreamPace_OnDigest(router, digest);
     for (size_t i = 0; i < digest->rollout_count; i++) {
         SlRollouts_OnReport(router, &digest->vm, &digest->rollouts[i]);
--- a/lib/router/sl_kept_parts.c
+++ b/lib/router/sl_kept_parts.c
@@ -58,8 +58,9 @@
     choice->homes.part = SlKeptPrompt_SharedKey(&choice->prompt);
     for (guint i = 0; i < upstreams->len; i++) {
         const struct sl_router_upstream *upstream = upstreams->pdata[i];
-        /* A cold engine can't take all that a home would get. */
-        if (!SlColdLimit_IsCold(router, upstream, request->service)) {
+        /* A cold or limited engine can't take all that a home would get. */
+        if (!SlColdLimit_IsCold(router, upstream, request->service) &&
+            !SlUpstreamLimits_IsLimited(upstream)) {
             SlKeptHomes_Add(&choice->homes, domain_key(upstream),
                             upstream->kept);
         }
--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -107,6 +107,24 @@
     return sharers;
 }
 
+/* Weight of a silent peer, which may have ended, or be cut off from this
+ * router alone. If a fleet is cut in halves, both together then use four
+ * thirds of an allowance; and two thirds while half of the routers have ended.
+ */
+#define Sl_SILENT_WEIGHT 0.5
+
+double
+SlPeers_AllowanceWeight(const struct sl_router *router,
+                        const struct sl_router_peer *peer)
+{
+    if (SlPeers_IsLive(router, peer)) {
+        return 1;
+    }
+    return peer->digest.boot != 0 && !peer->digest.is_leaving
+               ? Sl_SILENT_WEIGHT
+               : 0;
+}
+
 /* Returns the rank of the router `vm` among the live ones by rendezvous hash
  * with `key`, from 0; with `in_domain`, among those of the local failure
  * domain. */
--- a/lib/router/sl_placement.c
+++ b/lib/router/sl_placement.c
@@ -2,8 +2,8 @@
  * Chooses the upstream for a request: the one with the least cost. The cost is
  * the estimated time to the first event, which depends on load, prefill
  * backlog and cached prefix parts, plus other costs converted to time.
- * Upstreams that are full, in a cold start, ejected or in back-off are left
- * out until they can take a request.
+ * Upstreams that are full, in a cold start, at their limit, ejected or in
+ * back-off are left out until they can take a request.
  */
 #include "sl_router_internal.h"
 
@@ -127,7 +127,7 @@
 }
 
 /* Returns the earliest time at which the upstream takes requests, whatever its
- * load; at most now if it does now. */
+ * load and its limit; at most now if it does now. */
 static int64_t
 usable_from_us(const struct sl_router *router,
                const struct sl_routed_request *request,
@@ -142,11 +142,12 @@
 /* Returns the earliest time at which the upstream can take another request; at
  * most now if it can take one now. */
 static int64_t
-earliest_send_us(const struct sl_router *router,
+earliest_send_us(struct sl_router *router,
                  const struct sl_routed_request *request,
                  const struct sl_router_upstream *upstream)
 {
-    int64_t earliest_us = usable_from_us(router, request, upstream);
+    int64_t earliest_us = MAX(usable_from_us(router, request, upstream),
+                              SlUpstreamLimits_NextUs(router, upstream));
     if (SlUpstreams_Load(router, upstream) >=
         Sl_FULL_SLOTS_FACTOR * SlPlacement_Slots(upstream)) {
         /* Estimated time until one of its requests ends. */
@@ -274,12 +275,28 @@
     return cost_us;
 }
 
+/* Returns the slots of the upstream that are in use while it gets all requests
+ * that it takes. */
+static int64_t
+usable_slots(const struct sl_router *router,
+             const struct sl_router_upstream *upstream)
+{
+    int64_t slots = SlPlacement_Slots(upstream);
+    if (!SlUpstreamLimits_IsLimited(upstream)) {
+        return slots;
+    }
+    int64_t run_us =
+        SlLatency_MeanRunUs(router, &upstream->registration.service);
+    double used = upstream->limit.per_s * (double)run_us / (double)Sl_US_PER_S;
+    return MIN(slots, (int64_t)used + 1);
+}
+
 /* Counts the slots of an upstream that takes requests. */
 static void
 add_usable(const struct sl_router *router, struct sl_placement *placement,
            const struct sl_router_upstream *upstream)
 {
-    int64_t slots = SlPlacement_Slots(upstream);
+    int64_t slots = usable_slots(router, upstream);
     int64_t queued = SlUpstreams_Load(router, upstream) - slots;
     double queue = (double)MAX(queued, 0) / (double)slots;
     placement->least_queue = placement->usable_slots == 0
@@ -344,6 +361,8 @@
     gpointer value;
     enum sl_version_rule rule = SlRollouts_VersionRule(router, request);
     unsigned backing_off_count = 0;
+    unsigned limited_count = 0;
+    double limited_per_s = 0;
     SlPeers_SumLoads(router);
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -352,6 +371,10 @@
             continue;
         }
         placement.serving_count++;
+        if (SlUpstreamLimits_IsLimited(upstream)) {
+            limited_count++;
+            limited_per_s += SlUpstreamLimits_PerS(router, upstream);
+        }
         if (usable_from_us(router, request, upstream) <= router->now_us) {
             add_usable(router, &placement, upstream);
         }
@@ -375,6 +398,10 @@
         }
         g_ptr_array_add(candidates, upstream);
     }
+    if (limited_count > 0 && limited_count == placement.serving_count) {
+        placement.limited_interval_us =
+            (int64_t)((double)Sl_US_PER_S / limited_per_s);
+    }
     placement.all_backing_off =
         backing_off_count > 0 && backing_off_count == placement.serving_count;
     choose_among(router, request, candidates, &placement);
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -124,19 +124,24 @@
 
 /* Returns true if the request, which no upstream can take now, must be refused
  * instead of waiting. It would miss its deadline or outlast the drain, if the
- * upstreams can take one request each `wait_us` and `ahead_count` others for
- * the same service go first. Or no upstream has served it for
- * Sl_UNSERVED_WAIT_US: `wait_us` is Sl_NEVER_US then. */
+ * upstreams can take one request each time that the first one has to wait, or
+ * as often as their limits allow, and `ahead_count` others for the same
+ * service go first. Or no upstream has served it for Sl_UNSERVED_WAIT_US: the
+ * placement expects none to. */
 static bool
 decide_refusal(struct sl_router *router,
-               const struct sl_routed_request *request, int64_t wait_us,
-               size_t ahead_count)
+               const struct sl_routed_request *request,
+               const struct sl_placement *placement, size_t ahead_count)
 {
-    if (wait_us == Sl_NEVER_US) {
+    if (placement->wait_us == Sl_NEVER_US) {
         return note_unserved(router, &request->service->name);
     }
+    int64_t interval_us = placement->limited_interval_us > 0
+                              ? placement->limited_interval_us
+                              : placement->wait_us;
     int64_t run_us = SlLatency_MeanRunUs(router, &request->service->name);
-    return wait_us * (int64_t)(ahead_count + 1) + run_us / 2 >
+    return placement->wait_us + interval_us * (int64_t)ahead_count +
+               run_us / 2 >
            time_left_us(router, request);
 }
 
@@ -290,8 +295,8 @@
         SlUpstreamCall_Send(router, request, &placement);
     }
     else if (placement.exceeds_memory ||
-             (!is_decided && decide_refusal(router, request, placement.wait_us,
-                                            ahead_count))) {
+             (!is_decided &&
+              decide_refusal(router, request, &placement, ahead_count))) {
         refuse(router, request, &placement, NULL);
     }
     else {
--- a/lib/router/sl_retry_budget.c
+++ b/lib/router/sl_retry_budget.c
@@ -85,6 +85,15 @@
     window->requests[slot_index(window)] += 1;
 }
 
+double
+SlRetryBudget_Requests(struct sl_router *router, const struct sl_name *service)
+{
+    double requests;
+    double retries;
+    sum_window(advance_window(router, service), &requests, &retries);
+    return requests;
+}
+
 double
 SlRetryBudget_Remaining(struct sl_router *router,
                         const struct sl_name *service,
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -28,6 +28,8 @@
                                               SlName_TableEqual, NULL, g_free);
     router->upstreams = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, NULL, SlUpstreams_Free);
+    router->rate_parts = g_hash_table_new_full(
+        SlName_TableHash, SlName_TableEqual, g_free, g_free);
     router->upstream_notices = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, NULL, g_free);
     router->routed_requests = g_hash_table_new_full(
@@ -101,6 +103,7 @@
     g_ptr_array_free(router->deferred_frees, TRUE);
     g_hash_table_destroy(router->upstreams);
     g_hash_table_destroy(router->upstream_notices);
+    g_hash_table_destroy(router->rate_parts);
     g_hash_table_destroy(router->evacuated);
     SlRouting_Unref(router->routing);
     SlMetrics_Free(router->metrics);
@@ -135,6 +138,8 @@
 start(struct sl_router *router)
 {
     router->started = true;
+    router->fleet_clock_ahead_us =
+        router->wall_ms * Sl_US_PER_MS - router->now_us;
     SlFeeds_Start(router);
     SlDigests_Start(router);
     on_sweep(router, 0, router->now_us);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -35,6 +35,7 @@
  * sl_upstreams.c         state of upstreams
  * sl_upstream_notices.c  announcements that upstreams make in responses
  * sl_upstream_limits.c   limits that they state there on their rate
+ * sl_rate_slots.c        splits such a rate among the routers
  * sl_upstream_pace.c     how long work takes at upstreams, as against usual
  * sl_latency_estimate.c  estimates of prefill and run times
  * sl_event_splitter.c    splits a stream into events
@@ -109,10 +110,11 @@
                                  a peer */
     int64_t backoff_until_us; /* it asked for no request until then */
     struct sl_stated_limit limit;
-    unsigned failures;     /* consecutive ones, seen by this router */
-    int64_t in_flight;     /* calls of this router under way */
-    int64_t suspect_calls; /* those of them that are suspects */
-    int64_t last_bytes_us; /* when any call last got bytes from it */
+    uint64_t first_unused_slot; /* of the limited rate; see sl_rate_slots.c */
+    unsigned failures;          /* consecutive ones, seen by this router */
+    int64_t in_flight;          /* calls of this router under way */
+    int64_t suspect_calls;      /* those of them that are suspects */
+    int64_t last_bytes_us;      /* when any call last got bytes from it */
     /* When any call last got an event that is not the first of its stream.
      * First events may arrive while the other streams are stalled by
      * prefill. */
@@ -165,6 +167,33 @@
     unsigned ratio_count;
 };
 
+/* ---- rate slots ---- */
+
+/* This router's part of the rates of a service's limited upstreams: from
+ * `begin` on, of the interval from 0 to 1 that all routers share. */
+struct sl_rate_part {
+    double begin;
+    double size;
+};
+
+/* Epochs for which the part is kept: slots can be used for that long. */
+#define Sl_RATE_EPOCHS 8
+
+/* The part in the newest epochs of the fleet's clock. A slot counts for the
+ * part of the epoch in which it begins: if it counted for the part at the time
+ * at which it is used, several routers would own it one after the other. */
+struct sl_rate_parts {
+    int64_t newest_epoch;                      /* 0: none yet */
+    struct sl_rate_part parts[Sl_RATE_EPOCHS]; /* by epoch, a ring */
+};
+
+/* A limited rate of one upstream, as this router may use it. */
+struct sl_limited_rate {
+    double per_s;  /* of all routers */
+    uint32_t salt; /* of the upstream; spreads the slots of several */
+    const struct sl_rate_parts *parts;
+};
+
 /* ---- retry budget ---- */
 
 /* Time slots that a window of the retry budget is divided into. */
@@ -535,6 +564,8 @@
     int64_t members_read_us;  /* when that list was read; 0: not yet */
     int64_t now_us;           /* time of the current event */
     int64_t wall_ms;          /* the same by the wall clock */
+    int64_t fleet_clock_ahead_us; /* of the clock that routers share, the wall
+                                     clock at the start, over `now_us` */
     struct sl_random random;
     struct sl_timers *timers;
     struct sl_metrics *metrics;        /* by enum sl_router_metric */
@@ -568,6 +599,7 @@
     GHashTable *upstreams;        /* id -> struct sl_router_upstream, owned */
     size_t expiring_count;        /* upstreams with a `removal_due_us` */
     GHashTable *upstream_notices; /* id -> struct sl_upstream_notice, owned */
+    GHashTable *rate_parts; /* service name -> struct sl_rate_parts, owned */
     /* Model name -> struct sl_latency_estimate, owned. */
     GHashTable *latency_estimates;
     GHashTable
@@ -915,6 +947,11 @@
                                          const struct sl_name *reporter,
                                          struct sl_router_upstream *upstream,
                                          int64_t age_us);
+/* Returns true if an announcement made `age_us` ago is older than the present
+ * instance of the upstream. This router may have started later than both. */
+bool SlUpstreamNotices_IsOfEarlierInstance(
+    const struct sl_router *router, const struct sl_router_upstream *upstream,
+    int64_t age_us);
 /* Returns true if this router's digests report that the upstream leaves. */
 bool SlUpstreamNotices_ShouldReportLeaving(
     const struct sl_router *router, const struct sl_router_upstream *upstream);
@@ -936,9 +973,47 @@
 void SlUpstreamLimits_OnHead(struct sl_router *router,
                              const struct sl_upstream_call *call,
                              const struct sl_response_head *head);
+/* Handles a peer's digest, which may report limits. */
+void SlUpstreamLimits_OnDigest(struct sl_router *router,
+                               const struct sl_gossip_digest *digest);
+/* Adds the known limits, and the demand for their services, to a digest. */
+void SlUpstreamLimits_AddToDigest(struct sl_router *router,
+                                  struct sl_gossip_digest *digest);
 /* Handles that another instance has the upstream's id. */
 void SlUpstreamLimits_OnReplaced(struct sl_router *router,
                                  struct sl_router_upstream *upstream);
+/* Returns true while the upstream limits the rate of its requests. */
+bool SlUpstreamLimits_IsLimited(const struct sl_router_upstream *upstream);
+/* Returns the earliest time at which this router may send a request to the
+ * upstream, which is now or later. */
+int64_t SlUpstreamLimits_NextUs(struct sl_router *router,
+                                const struct sl_router_upstream *upstream);
+/* Returns the requests a second that this router may send to the upstream,
+ * which is limited. */
+double SlUpstreamLimits_PerS(struct sl_router *router,
+                             const struct sl_router_upstream *upstream);
+/* Handles that a request is sent to the upstream. */
+void SlUpstreamLimits_OnSent(struct sl_router *router,
+                             struct sl_router_upstream *upstream);
+
+/* ---- rate slots ---- */
+
+/* Returns the epoch of the fleet's clock at `clock_us`. */
+int64_t SlRateSlots_Epoch(int64_t clock_us);
+/* Sets the part from the epoch after the newest one on, up to `epoch`. */
+void SlRateSlots_SetPart(struct sl_rate_parts *parts, int64_t epoch,
+                         struct sl_rate_part part);
+/* Returns the part in the newest epoch. */
+struct sl_rate_part SlRateSlots_Part(const struct sl_rate_parts *parts);
+/* Returns the number of the slot that has begun last at `clock_us`. */
+uint64_t SlRateSlots_At(const struct sl_limited_rate *rate, int64_t clock_us);
+/* Returns the first of this router's slots from `first` on that has not
+ * expired at `clock_us`. If it has none for long, returns the last one that
+ * was looked at. */
+uint64_t SlRateSlots_Next(const struct sl_limited_rate *rate, int64_t clock_us,
+                          uint64_t first);
+/* Returns the time at which the slot begins. */
+int64_t SlRateSlots_BeginUs(const struct sl_limited_rate *rate, uint64_t slot);
 
 /* ---- cold upstreams ---- */
 
@@ -1085,6 +1160,11 @@
  * the retry budget, are split, this one included. Peers that have recently
  * fallen silent count as well: they may be cut off from this router alone. */
 size_t SlPeers_AllowanceSharerCount(const struct sl_router *router);
+/* Returns the weight of the peer in a split of the fleet's allowances by the
+ * demand for a service: 1 if it is live, 0 if it is gone. One that has
+ * recently fallen silent counts in part. */
+double SlPeers_AllowanceWeight(const struct sl_router *router,
+                               const struct sl_router_peer *peer);
 /* Returns this router's rank among the live ones, by rendezvous hash with
  * `key`. The router with rank 0 is the first to act. */
 size_t SlPeers_Rank(const struct sl_router *router, struct sl_str key);
@@ -1297,9 +1377,13 @@
     /* Least cost of a home of the prompt; Sl_NEVER_US if there is none. */
     int64_t home_cost_us;
     /* Slots of those that do not refuse for another reason than their load,
-     * and the least queue of one, in its slots. */
+     * as far as their limits let them be used; and the least queue of one, in
+     * its slots. */
     int64_t usable_slots;
     double least_queue;
+    /* Mean time between two requests that this router may send to all of them
+     * together; 0 unless each limits its rate. */
+    int64_t limited_interval_us;
     bool all_backing_off; /* all upstreams that may serve the request have
                              asked for back-off, so that `wait_us` is
                              certain */
@@ -1498,6 +1582,9 @@
 bool SlRetryBudget_Take(struct sl_router *router,
                         const struct sl_name *service,
                         enum sl_retry_reason reason);
+/* Returns the clients' requests to the service in the last window. */
+double SlRetryBudget_Requests(struct sl_router *router,
+                              const struct sl_name *service);
 /* Returns the number of retries that this router's part of the budget still
  * allows; negative if it is exceeded. */
 double SlRetryBudget_Remaining(struct sl_router *router,
--- a/lib/router/sl_upstream_limits.c
+++ b/lib/router/sl_upstream_limits.c
@@ -2,24 +2,243 @@
  * Limits that upstreams state in their responses: the requests a second that
  * an upstream takes from all routers together, for as long as its responses
  * say so.
+ *
+ * Digests report a limit, so that it also binds routers that have got no
+ * response with it, and that it has ended. The newest statement counts.
+ *
+ * The routers split the rate in proportion to the demand for the service:
+ * digests report how many requests clients have sent to each router lately.
  */
 #include "sl_router_internal.h"
 
 /* Least limit that is kept. A lower one would keep away even the requests
  * whose responses show that it has ended. */
 #define Sl_MIN_LIMIT_PER_S 0.25
-/* Change of a limit, as a share of it, that is logged. */
-#define Sl_LOGGED_CHANGE_SHARE 0.1
+/* Change of a limit, as a share of it, that is logged and spread at once. */
+#define Sl_NEWS_CHANGE_SHARE 0.1
+/* Unit of limits in digests: requests in so many seconds. */
+#define Sl_REPORT_UNIT_S 1000
+/* Time for which digests report that an upstream is no longer limited. */
+#define Sl_REPORT_UNLIMITED_US (60 * Sl_US_PER_S)
+/* A report that confirms the known limit counts if it is that much newer.
+ * Reports get younger by their latency: in smaller steps, routers that report
+ * to each other would keep a limit young without end. */
+#define Sl_CONFIRMED_STEP_US Sl_US_PER_S
+/* Part of a rate that is split equally, whatever the demand: a router to which
+ * clients have just moved needs some at once. */
+#define Sl_EQUAL_PART 0.1
 
+/* ---- this router's part ---- */
+
+static uint32_t
+key_of(const struct sl_name *name)
+{
+    return (uint32_t)SlHash_Bytes(0, SlName_Str(name));
+}
+
+/* A router's claim to the rates of a service. */
+struct sl_rate_claim {
+    uint64_t place;    /* orders the routers */
+    double weight;     /* 0 to 1; see SlPeers_AllowanceWeight() */
+    double demand;     /* requests of its clients, times `weight` */
+    bool has_reported; /* `demand` is known */
+};
+
+static struct sl_rate_claim
+claim_of_peer(const struct sl_router *router,
+              const struct sl_router_peer *peer, const struct sl_name *service)
+{
+    struct sl_rate_claim claim = {
+        .place = SlHash_Bytes(0, SlName_Str(&peer->vm)),
+        .weight = SlPeers_AllowanceWeight(router, peer),
+    };
+    for (size_t i = 0; i < peer->digest.demand_count; i++) {
+        if (peer->digest.demands[i].service == key_of(service)) {
+            claim.demand =
+                claim.weight * (double)peer->digest.demands[i].requests;
+            claim.has_reported = true;
+        }
+    }
+    return claim;
+}
+
+/* Returns the claims of all routers, struct sl_rate_claim, this router's
+ * first; the caller frees the array. */
+static GArray *
+collect_claims(struct sl_router *router, const struct sl_name *service)
+{
+    GArray *claims = g_array_new(FALSE, FALSE, sizeof(struct sl_rate_claim));
+    struct sl_rate_claim own = {
+        .place = SlHash_Bytes(0, SlName_Str(&router->options.vm)),
+        .weight = 1,
+        .demand = SlRetryBudget_Requests(router, service),
+        .has_reported = true,
+    };
+    GHashTableIter iter;
+    gpointer value;
+    g_array_append_val(claims, own);
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rate_claim claim = claim_of_peer(router, value, service);
+        if (claim.weight > 0) {
+            g_array_append_val(claims, claim);
+        }
+    }
+    return claims;
+}
+
+/* Gives the routers whose demand is not known the mean of the others. */
+static void
+assume_mean_demand(GArray *claims)
+{
+    double weights = 0;
+    double demand = 0;
+    for (guint i = 0; i < claims->len; i++) {
+        const struct sl_rate_claim *claim =
+            &g_array_index(claims, struct sl_rate_claim, i);
+        weights += claim->has_reported ? claim->weight : 0;
+        demand += claim->demand;
+    }
+    for (guint i = 0; i < claims->len; i++) {
+        struct sl_rate_claim *claim =
+            &g_array_index(claims, struct sl_rate_claim, i);
+        if (!claim->has_reported) {
+            claim->demand = claim->weight * demand / weights;
+        }
+    }
+}
+
+static struct sl_rate_part
+compute_part(struct sl_router *router, const struct sl_name *service)
+{
+    GArray *claims = collect_claims(router, service);
+    double weights = 0;
+    double demand = 0;
+    struct sl_rate_part part = {0, 0};
+    assume_mean_demand(claims);
+    for (guint i = 0; i < claims->len; i++) {
+        weights += g_array_index(claims, struct sl_rate_claim, i).weight;
+        demand += g_array_index(claims, struct sl_rate_claim, i).demand;
+    }
+    double equal_part = demand > 0 ? Sl_EQUAL_PART : 1;
+    uint64_t own_place = g_array_index(claims, struct sl_rate_claim, 0).place;
+    for (guint i = 0; i < claims->len; i++) {
+        const struct sl_rate_claim *claim =
+            &g_array_index(claims, struct sl_rate_claim, i);
+        double size = equal_part * claim->weight / weights;
+        size += demand > 0 ? (1 - equal_part) * claim->demand / demand : 0;
+        part.begin += claim->place < own_place ? size : 0;
+        part.size = i == 0 ? size : part.size;
+    }
+    g_array_free(claims, TRUE);
+    return part;
+}
+
+static int64_t
+fleet_clock_us(const struct sl_router *router)
+{
+    return router->now_us + router->fleet_clock_ahead_us;
+}
+
+/* Returns this router's parts of the service's rates, up to the present. */
+static const struct sl_rate_parts *
+parts_of(struct sl_router *router, const struct sl_name *service)
+{
+    struct sl_rate_parts *parts =
+        g_hash_table_lookup(router->rate_parts, service);
+    int64_t epoch = SlRateSlots_Epoch(fleet_clock_us(router));
+    if (parts == NULL) {
+        parts = g_new0(struct sl_rate_parts, 1);
+        g_hash_table_insert(router->rate_parts,
+                            g_memdup2(service, sizeof(*service)), parts);
+    }
+    if (parts->newest_epoch < epoch) {
+        SlRateSlots_SetPart(parts, epoch, compute_part(router, service));
+    }
+    return parts;
+}
+
+static struct sl_limited_rate
+rate_of(struct sl_router *router, const struct sl_router_upstream *upstream)
+{
+    return (struct sl_limited_rate){
+        .per_s = upstream->limit.per_s,
+        .salt = upstream->key,
+        .parts = parts_of(router, &upstream->registration.service),
+    };
+}
+
+bool
+SlUpstreamLimits_IsLimited(const struct sl_router_upstream *upstream)
+{
+    return upstream->limit.per_s > 0;
+}
+
+double
+SlUpstreamLimits_PerS(struct sl_router *router,
+                      const struct sl_router_upstream *upstream)
+{
+    struct sl_limited_rate rate = rate_of(router, upstream);
+    return rate.per_s * SlRateSlots_Part(rate.parts).size;
+}
+
+int64_t
+SlUpstreamLimits_NextUs(struct sl_router *router,
+                        const struct sl_router_upstream *upstream)
+{
+    if (!SlUpstreamLimits_IsLimited(upstream)) {
+        return router->now_us;
+    }
+    struct sl_limited_rate rate = rate_of(router, upstream);
+    int64_t clock_us = fleet_clock_us(router);
+    uint64_t slot =
+        SlRateSlots_Next(&rate, clock_us, upstream->first_unused_slot);
+    int64_t wait_us = SlRateSlots_BeginUs(&rate, slot) - clock_us;
+    return router->now_us + MAX(wait_us, 0);
+}
+
+void
+SlUpstreamLimits_OnSent(struct sl_router *router,
+                        struct sl_router_upstream *upstream)
+{
+    if (SlUpstreamLimits_IsLimited(upstream)) {
+        struct sl_limited_rate rate = rate_of(router, upstream);
+        upstream->first_unused_slot =
+            SlRateSlots_Next(&rate, fleet_clock_us(router),
+                             upstream->first_unused_slot) +
+            1;
+    }
+}
+
+/* ---- statements ---- */
+
+static uint32_t
+to_reported(double per_s)
+{
+    return (uint32_t)MIN(per_s * Sl_REPORT_UNIT_S + 0.5, (double)UINT32_MAX);
+}
+
+static double
+from_reported(uint32_t per_1000_s)
+{
+    return (double)per_1000_s / Sl_REPORT_UNIT_S;
+}
+
+/* Logs the limit. `reporter` is the peer that has reported it; NULL: the
+ * upstream has stated it to this router. */
 static void
 log_limit(struct sl_router *router, const struct sl_router_upstream *upstream,
-          const char *event, double per_s)
+          const struct sl_name *reporter, double per_s)
 {
-    SlLogLine_Begin(router, event);
+    SlLogLine_Begin(router,
+                    per_s > 0 ? "upstream_limited" : "upstream_unlimited");
     SlLogLine_Name(router, "upstream", &upstream->registration.id);
     SlLogLine_Name(router, "service", &upstream->registration.service);
+    if (reporter != NULL) {
+        SlLogLine_Name(router, "told_by", reporter);
+    }
     if (per_s > 0) {
-        SlLogLine_Int(router, "per_1000_s", (int64_t)(per_s * 1000));
+        SlLogLine_Int(router, "per_1000_s", to_reported(per_s));
     }
     SlLogLine_End(router, Sl_LOG_INFO);
 }
@@ -27,26 +246,33 @@
 /* Replaces the upstream's limit by one that was stated later. */
 static void
 set_limit(struct sl_router *router, struct sl_router_upstream *upstream,
-          struct sl_stated_limit limit)
+          const struct sl_name *reporter, struct sl_stated_limit limit)
 {
     double before = upstream->limit.per_s;
     double change = limit.per_s - before;
-    if (limit.per_s == 0 && before > 0) {
-        log_limit(router, upstream, "upstream_unlimited", 0);
-    }
-    else if (MAX(change, -change) > Sl_LOGGED_CHANGE_SHARE * before) {
-        log_limit(router, upstream, "upstream_limited", limit.per_s);
-    }
+    bool is_news = MAX(change, -change) > Sl_NEWS_CHANGE_SHARE * before;
     upstream->limit = limit;
     SlUpstreamNotices_GetOrAdd(router, upstream)->limit = limit;
+    if (change != 0 && limit.per_s > 0) {
+        /* Slots are numbered anew. Those of the past are not made up for. */
+        struct sl_limited_rate rate = rate_of(router, upstream);
+        upstream->first_unused_slot =
+            SlRateSlots_At(&rate, fleet_clock_us(router)) + 1;
+    }
+    if (is_news) {
+        log_limit(router, upstream, reporter, limit.per_s);
+        SlDigests_ScheduleEvidence(router, reporter == NULL);
+        router->capacity_changed = true;
+    }
 }
 
 void
 SlUpstreamLimits_OnReplaced(struct sl_router *router,
                             struct sl_router_upstream *upstream)
 {
-    if (upstream->limit.stated_us != 0) {
-        set_limit(router, upstream, (struct sl_stated_limit){0});
+    if (SlUpstreamLimits_IsLimited(upstream)) {
+        set_limit(router, upstream, NULL,
+                  (struct sl_stated_limit){0, router->now_us});
     }
 }
 
@@ -73,14 +299,115 @@
         log_invalid_limit(router, upstream);
     }
     else if (head->has_limit) {
-        double per_s = MAX(head->limit_per_s, Sl_MIN_LIMIT_PER_S);
-        set_limit(router, upstream,
+        /* As reports give it: routers that differ number the slots apart. */
+        double per_s = from_reported(
+            to_reported(MAX(head->limit_per_s, Sl_MIN_LIMIT_PER_S)));
+        set_limit(router, upstream, NULL,
                   (struct sl_stated_limit){per_s, router->now_us});
     }
-    else if (is_own && upstream->limit.per_s > 0 &&
+    else if (is_own && SlUpstreamLimits_IsLimited(upstream) &&
              call->sent_us > upstream->limit.stated_us) {
         /* The response may have waited for long before it was read. */
-        set_limit(router, upstream,
+        set_limit(router, upstream, NULL,
                   (struct sl_stated_limit){0, call->sent_us});
     }
 }
+
+/* ---- reports ---- */
+
+/* Adds the demand for the service, once. */
+static void
+add_demand(struct sl_router *router, const struct sl_name *service,
+           struct sl_gossip_digest *digest)
+{
+    uint32_t key = key_of(service);
+    for (size_t i = 0; i < digest->demand_count; i++) {
+        if (digest->demands[i].service == key) {
+            return;
+        }
+    }
+    if (digest->demand_count < Sl_GOSSIP_MAX_DEMANDS) {
+        digest->demands[digest->demand_count++] = (struct sl_gossip_demand){
+            key, (uint32_t)SlRetryBudget_Requests(router, service)};
+    }
+}
+
+/* Returns true if digests report what the upstream has stated. */
+static bool
+is_reported(const struct sl_router *router,
+            const struct sl_stated_limit *limit)
+{
+    return limit->stated_us != 0 &&
+           (limit->per_s > 0 ||
+            router->now_us - limit->stated_us < Sl_REPORT_UNLIMITED_US);
+}
+
+void
+SlUpstreamLimits_AddToDigest(struct sl_router *router,
+                             struct sl_gossip_digest *digest)
+{
+    GPtrArray *reported = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    digest->limit_count = 0;
+    digest->demand_count = 0;
+    g_hash_table_iter_init(&iter, router->upstreams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct sl_router_upstream *upstream = value;
+        if (is_reported(router, &upstream->limit)) {
+            g_ptr_array_add(reported, value);
+        }
+        if (SlUpstreamLimits_IsLimited(upstream)) {
+            add_demand(router, &upstream->registration.service, digest);
+        }
+    }
+    /* If there are more than a digest holds, the next one goes on. */
+    uint64_t first = digest->sequence * Sl_GOSSIP_MAX_LIMITS;
+    while (digest->limit_count < MIN(reported->len, Sl_GOSSIP_MAX_LIMITS)) {
+        const struct sl_router_upstream *upstream =
+            reported->pdata[(first + digest->limit_count) % reported->len];
+        int64_t age_ms =
+            (router->now_us - upstream->limit.stated_us) / Sl_US_PER_MS;
+        digest->limits[digest->limit_count++] = (struct sl_gossip_limit){
+            .upstream = upstream->key,
+            .per_1000_s = to_reported(upstream->limit.per_s),
+            .age_ms = (uint32_t)MIN(age_ms, (int64_t)UINT32_MAX),
+        };
+    }
+    g_ptr_array_free(reported, TRUE);
+}
+
+static void
+on_report(struct sl_router *router, const struct sl_name *reporter,
+          const struct sl_gossip_limit *report)
+{
+    struct sl_router_upstream *upstream =
+        SlUpstreams_FirstWithKey(router, report->upstream);
+    int64_t age_us = report->age_ms * Sl_US_PER_MS;
+    struct sl_stated_limit limit = {
+        .per_s = from_reported(report->per_1000_s),
+        .stated_us = router->now_us - age_us,
+    };
+    if (upstream == NULL || upstream->next_with_key != NULL ||
+        SlUpstreamNotices_IsOfEarlierInstance(router, upstream, age_us)) {
+        return;
+    }
+    int64_t newer_us = limit.stated_us - upstream->limit.stated_us;
+    if (report->per_1000_s != to_reported(upstream->limit.per_s)) {
+        if (newer_us > 0) {
+            set_limit(router, upstream, reporter, limit);
+        }
+    }
+    else if (newer_us >= Sl_CONFIRMED_STEP_US && limit.per_s > 0) {
+        upstream->limit.stated_us = limit.stated_us;
+    }
+}
+
+void
+SlUpstreamLimits_OnDigest(struct sl_router *router,
+                          const struct sl_gossip_digest *digest)
+{
+    for (size_t i = 0; i < digest->limit_count; i++) {
+        on_report(router, &digest->vm, &digest->limits[i]);
+    }
+}
--- a/lib/router/sl_upstream_notices.c
+++ b/lib/router/sl_upstream_notices.c
@@ -138,12 +138,10 @@
     set_leaving(router, upstream, NULL, router->now_us);
 }
 
-/* Returns true if an announcement made `age_us` ago is older than the present
- * instance of the upstream. This router may have started later than both. */
-static bool
-is_from_earlier_instance(const struct sl_router *router,
-                         const struct sl_router_upstream *upstream,
-                         int64_t age_us)
+bool
+SlUpstreamNotices_IsOfEarlierInstance(
+    const struct sl_router *router, const struct sl_router_upstream *upstream,
+    int64_t age_us)
 {
     if (upstream->registration.start_wall_ms != 0) {
         return upstream->registration.start_wall_ms >
@@ -159,7 +157,7 @@
                                     int64_t age_us)
 {
     if (upstream->leave_announced_us != 0 ||
-        is_from_earlier_instance(router, upstream, age_us)) {
+        SlUpstreamNotices_IsOfEarlierInstance(router, upstream, age_us)) {
         return;
     }
     set_leaving(router, upstream, reporter, router->now_us - age_us);
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -359,6 +359,7 @@
     if (call->was_cold) {
         upstream->cold_sent_us = router->now_us;
     }
+    SlUpstreamLimits_OnSent(router, upstream);
     upstream->in_flight++;
     call->is_suspect = request->is_suspect;
     upstream->suspect_calls += call->is_suspect ? 1 : 0;
--- a/lib/sharing/sl_admission.c
+++ b/lib/sharing/sl_admission.c
@@ -38,7 +38,8 @@
          * one will. */
         return state->free_us * (state->ahead + 1);
     }
-    return MAX(state->free_us, state->interval_us * (state->ahead + 1));
+    return MAX(state->free_us + state->limited_interval_us * state->ahead,
+               state->interval_us * (state->ahead + 1));
 }
 
 /* Returns the Retry-After: clients come back over the second half of the time
--- a/lib/sharing/sl_sharing.h
+++ b/lib/sharing/sl_sharing.h
@@ -158,7 +158,9 @@
     int64_t free_us;      /* until an upstream can take a request */
     int64_t ahead;        /* requests in this router's queue that go first */
     int64_t interval_us;  /* time between two requests that are sent */
-    int64_t backlog;      /* requests in the fleet's queues */
+    /* The same by the limits of the upstreams; 0 unless each has one. */
+    int64_t limited_interval_us;
+    int64_t backlog;           /* requests in the fleet's queues */
     int64_t upstream_wait_us;  /* least wait in an upstream's own queue */
     int64_t objective_left_us; /* until the response should have begun;
                                   Sl_NEVER_US: no objective */
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -48,6 +48,10 @@
     digest->paces[0] = {0xffffffff, 130, 200};
     digest->kept_part_count = 1;
     digest->kept_parts[0] = {5, 0xfffffffd, 1200};
+    digest->limit_count = 1;
+    digest->limits[0] = {0xfffffffc, 1100, 300};
+    digest->demand_count = 1;
+    digest->demands[0] = {0xfffffffb, 70};
     return digest;
 }
 
@@ -126,6 +130,13 @@
     EXPECT_EQ(decoded->kept_parts[0].upstream, 5u);
     EXPECT_EQ(decoded->kept_parts[0].part, 0xfffffffdu);
     EXPECT_EQ(decoded->kept_parts[0].age_ms, 1200u);
+    ASSERT_EQ(decoded->limit_count, 1u);
+    EXPECT_EQ(decoded->limits[0].upstream, 0xfffffffcu);
+    EXPECT_EQ(decoded->limits[0].per_1000_s, 1100u);
+    EXPECT_EQ(decoded->limits[0].age_ms, 300u);
+    ASSERT_EQ(decoded->demand_count, 1u);
+    EXPECT_EQ(decoded->demands[0].service, 0xfffffffbu);
+    EXPECT_EQ(decoded->demands[0].requests, 70u);
 }
 
 // All ages and elapsed times grow by the added age. One that would overflow
@@ -147,6 +158,7 @@
     EXPECT_EQ(digest->quarantine.cleared[0].age_ms, 940u);
     EXPECT_EQ(digest->paces[0].age_ms, 240u);
     EXPECT_EQ(digest->kept_parts[0].age_ms, 1240u);
+    EXPECT_EQ(digest->limits[0].age_ms, 340u);
     SlGossip_AddAge(digest.get(), 60 * Sl_US_PER_S);
     EXPECT_EQ(digest->quarantine.blocks[0].expires_in_ms, 0u);
 }
@@ -182,6 +194,10 @@
     memset(digest->paces, 0xff, sizeof(digest->paces));
     digest->kept_part_count = Sl_GOSSIP_MAX_KEPT_PARTS;
     memset(digest->kept_parts, 0xff, sizeof(digest->kept_parts));
+    digest->limit_count = Sl_GOSSIP_MAX_LIMITS;
+    memset(digest->limits, 0xff, sizeof(digest->limits));
+    digest->demand_count = Sl_GOSSIP_MAX_DEMANDS;
+    memset(digest->demands, 0xff, sizeof(digest->demands));
 }
 
 // Without a quarantine, all lists fit beside the loads of 20 upstreams.
@@ -205,6 +221,8 @@
     EXPECT_EQ(decoded->load_count, 20u);
     EXPECT_EQ(decoded->pace_count, (size_t)Sl_GOSSIP_MAX_PACES);
     EXPECT_EQ(decoded->kept_part_count, (size_t)Sl_GOSSIP_MAX_KEPT_PARTS);
+    EXPECT_EQ(decoded->limit_count, (size_t)Sl_GOSSIP_MAX_LIMITS);
+    EXPECT_EQ(decoded->demand_count, (size_t)Sl_GOSSIP_MAX_DEMANDS);
 }
 
 // A full quarantine takes the place of loads.
@@ -218,6 +236,8 @@
         load = {0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff};
     }
     fill_quarantine(&digest->quarantine);
+    digest->limit_count = 0;
+    digest->demand_count = 0;
     std::string bytes = encode(digest.get());
     EXPECT_LE(bytes.size(), (size_t)Sl_GOSSIP_MAX_BYTES);
     ASSERT_EQ(
@@ -304,6 +324,8 @@
             EXPECT_LE(decoded->pace_count, (size_t)Sl_GOSSIP_MAX_PACES);
             EXPECT_LE(decoded->kept_part_count,
                       (size_t)Sl_GOSSIP_MAX_KEPT_PARTS);
+            EXPECT_LE(decoded->limit_count, (size_t)Sl_GOSSIP_MAX_LIMITS);
+            EXPECT_LE(decoded->demand_count, (size_t)Sl_GOSSIP_MAX_DEMANDS);
         }
     }
 }
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -56,7 +56,7 @@
 //       the newest call for that client ends; not-connected: no connection
 //       was established
 //   digest VM [domain=] [offsets=A,B,C] [load=ID:IN_FLIGHT:BACKLOG_MS]
-//     [pace=ID:PERCENT:AGE_MS,..]
+//     [pace=ID:PERCENT:AGE_MS,..] [limit=ID:PER_1000_S:AGE_MS,..]
 //     [fault=ID[:replaced | :leaving:MS],..] [order=] [elapsed=] [base=]
 //     [suspect] [answers= bad= base-answers= base-bad=] [leaving] [store-age=]
 //     [known=] [relay=PLACE] [age=] [again] [boot=] [address=]
@@ -804,6 +804,13 @@
             at.percent = (uint16_t)std::stoul(fields.at(1));
             at.age_ms = (uint32_t)std::stoul(fields.at(2));
         }
+        for (const std::string &limit : split(args.str("limit"))) {
+            std::vector<std::string> fields = split(limit, ':');
+            struct sl_gossip_limit &at = digest->limits[digest->limit_count++];
+            at.upstream = (uint32_t)SlHash_Bytes(0, view(fields.at(0)));
+            at.per_1000_s = (uint32_t)std::stoul(fields.at(1));
+            at.age_ms = (uint32_t)std::stoul(fields.at(2));
+        }
         for (const std::string &share : split(args.str("share"))) {
             std::vector<std::string> fields = split(share, ':');
             struct sl_gossip_share &at = digest->shares[digest->share_count++];
