router: the era of the store's history is read and logged

In a drill the store may come back from a copy some seconds old; it then states a higher Store-Era in all its answers. Nothing read it, so neither logs nor metrics tell such a return from records that have expired (410 for both).

The router logs store_era (era, before) and has the gauge sassafrasledge_store_era. No decision depends on it yet.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -718,6 +718,22 @@
     }
 }
 
+/* Notes the era that the store has stated in its answer. */
+static void
+note_era(struct sl_router *router, uint64_t era)
+{
+    if (era <= router->store_era) {
+        return;
+    }
+    if (router->store_era != 0) {
+        SlLogLine_Begin(router, "store_era");
+        SlLogLine_Int(router, "era", (int64_t)era);
+        SlLogLine_Int(router, "before", (int64_t)router->store_era);
+        SlLogLine_End(router, Sl_LOG_WARN);
+    }
+    router->store_era = era;
+}
+
 /* Handles the success of a read of `feed` by this router. */
 static void
 on_store_answered(struct sl_router *router, enum sl_feed feed)
@@ -757,6 +773,7 @@
     int64_t proven_before_us = proven_us(router);
     router->store_answered_us = router->now_us;
     note_store_answered(router, router->now_us);
+    note_era(router, event->u.feed.era);
     on_store_answered(router, feed);
     if (event->u.feed.is_truncated) {
         SlLogLine_Begin(router, "feed_restarted");
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -311,6 +311,7 @@
              * offset on. */
             bool is_truncated;
             uint64_t next_offset; /* offset of the next record */
+            uint64_t era; /* READ: of the store's history; 0: not known */
             size_t count;
             const struct sl_record *records;
         } feed;
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -577,6 +577,7 @@
     enum sl_log_request_state line_request_state;
 
     struct sl_feed_state feeds[Sl_FEED_COUNT];
+    uint64_t store_era;        /* the newest that the store has stated */
     int64_t store_answered_us; /* when the store last answered this router; 0:
                                   never */
     int64_t fleet_store_answered_us; /* when it last answered any router; 0:
@@ -703,6 +704,7 @@
     Sl_ROUTER_METRIC_CONFIGURATION,
     Sl_ROUTER_METRIC_CONFIGURATION_REFUSED,
     Sl_ROUTER_METRIC_STORE_AGE,
+    Sl_ROUTER_METRIC_STORE_ERA,
     Sl_ROUTER_METRIC_READY,
     Sl_ROUTER_METRIC_TEAM_QUEUE,
     Sl_ROUTER_METRIC_TEAM_REFUSALS,
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -214,6 +214,13 @@
          "one that it reads from; -1 before the first.",
          {NULL},
          NULL},
+    [Sl_ROUTER_METRIC_STORE_ERA] =
+        {"sassafrasledge_store_era",
+         Sl_METRIC_GAUGE,
+         "Era of the store's history that this process goes by; it rises when "
+         "the store comes back from a copy.",
+         {NULL},
+         NULL},
     [Sl_ROUTER_METRIC_READY] = {"sassafrasledge_ready",
                                 Sl_METRIC_GAUGE,
                                 "1 while new connections are wanted.",
@@ -623,6 +630,7 @@
               age_ms == UINT32_MAX
                   ? -1
                   : to_seconds((int64_t)age_ms * Sl_US_PER_MS));
+    set_gauge(router, Sl_ROUTER_METRIC_STORE_ERA, (double)router->store_era);
     set_gauge(router, Sl_ROUTER_METRIC_READY,
               SlRouter_IsReady(router) ? 1 : 0);
     set_upstreams(router);
--- a/programs/sassafrasd_router.c
+++ b/programs/sassafrasd_router.c
@@ -495,6 +495,7 @@
         event.u.feed.is_snapshot = page->is_snapshot;
         event.u.feed.is_truncated = page->is_truncated;
         event.u.feed.next_offset = page->next_offset;
+        event.u.feed.era = page->era;
         event.u.feed.count = page->count;
         event.u.feed.records = page->records;
     }
