--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -76,8 +76,13 @@
              const std::string &value);
     // Returns the newest value of a key, or an empty string.
     std::string get(const std::string &topic, const std::string &key) const;
+    // Takes a copy of all topics, and goes back to it: what was written since
+    // is gone, its offsets are given out again, and the era rises by one.
+    void save_copy();
+    void restore_copy();
     StoreFault fault = StoreFault::none;
     uint64_t calls = 0; // requests received
+    uint64_t era = 0;   // that all responses state; 0: none
 
   private:
     struct Record {
@@ -94,6 +99,7 @@
     Scheduler &scheduler;
     struct sl_http_server *server;
     std::map<std::string, std::vector<Record>> topics;
+    std::map<std::string, std::vector<Record>> copy;
     std::vector<WaitingRead> waiting_reads;
 
     static void on_request(void *context, uint64_t conn,
--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -91,6 +91,19 @@
     return value;
 }
 
+void
+StoreStandin::save_copy()
+{
+    copy = topics;
+}
+
+void
+StoreStandin::restore_copy()
+{
+    topics = copy;
+    era++;
+}
+
 void
 StoreStandin::on_request(void *context, uint64_t conn,
                          const struct sl_head *head, struct sl_str body)
@@ -126,7 +139,9 @@
 void
 StoreStandin::reply(uint64_t conn, int status, const std::string &body)
 {
-    SlHttpServer_Reply(server, conn, status, Sl_STR(""), view_of(body));
+    std::string lines =
+        era == 0 ? "" : "Store-Era: " + std::to_string(era) + "\r\n";
+    SlHttpServer_Reply(server, conn, status, view_of(lines), view_of(body));
 }
 
 void
@@ -148,6 +163,10 @@
     else if (path == "/v1/log-read") {
         uint64_t from_offset = strtoull(value("From").c_str(), nullptr, 10);
         int64_t wait_ms = strtoll(value("WaitMs").c_str(), nullptr, 10);
+        if (from_offset > topics[topic].size()) {
+            reply(conn, 410, "{\"FirstOffset\":0}");
+            return;
+        }
         if (from_offset < topics[topic].size() || wait_ms <= 0) {
             reply_records(conn, topic, from_offset);
             return;
