router: offsets of a lost history held changes back after the store came back from a copy

Cause: an offset was taken for a place in one history that only grows. Peers compared offsets in the same way. The class: every comparison of offsets, in feeds, cache, digests, pulls, pages, orders and conditional writes.

Change: the era that the store states is the upper part of each offset, set in platform/, so that a later history is greater wherever offsets are compared. A router learns of it from the store or from any digest, and reads all topics again, while its records stay in use. What the copy lacks stays in force until it is written again, for 30 s at most, and upstreams as after any absence of the store; an older configuration, registration or order in the copy replaces nothing. An order that is written again is the same roll-out; statuses and member records are written again by the routers.

--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -576,6 +576,15 @@
     register_member(context);
 }
 
+void
+SlDigests_RegisterAgain(struct sl_router *router)
+{
+    int64_t spread_ms = SlRandom_Below(
+        &router->random, (uint32_t)(Sl_REGISTER_SPREAD_US / Sl_US_PER_MS));
+    SlTimers_Add(router->timers, router->now_us + spread_ms * Sl_US_PER_MS,
+                 on_register_due, router, 0);
+}
+
 /* Sends the seeds a digest, which they answer with a peer list. Returns the
  * number of seeds that are other routers. */
 static size_t
--- a/lib/router/sl_dump.c
+++ b/lib/router/sl_dump.c
@@ -142,7 +142,7 @@
         begin_item(out);
         add_name(out, "service", &rollout->order.service);
         add_name(out, "target", &rollout->order.version);
-        add_int(out, "order", (int64_t)rollout->offset);
+        add_int(out, "order", (int64_t)SlOffset_Number(rollout->offset));
         add_text(out, "state",
                  rollout->has_stored_status
                      ? SlRollouts_StateName(rollout->stored_state)
@@ -218,7 +218,9 @@
     add_int(out, "draining", router->draining);
     add_int(out, "configuration",
             router->routing == NULL ? -1 : SlRouting_Version(router->routing));
-    add_int(out, "configuration_offset", (int64_t)router->routing_offset);
+    add_int(out, "configuration_offset",
+            (int64_t)SlOffset_Number(router->routing_offset));
+    add_int(out, "store_era", SlStoreEra_Stated(router));
     add_int(out, "store_age_ms", age_ms == UINT32_MAX ? -1 : (int64_t)age_ms);
     add_int(out, "in_flight", g_hash_table_size(router->routed_requests));
     dump_queues(router, out);
--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -137,9 +137,11 @@
 send_read(struct sl_router *router, enum sl_feed feed, int64_t wait_us)
 {
     struct sl_feed_state *state = &router->feeds[feed];
+    bool can_continue =
+        state->has_snapshot && !SlStoreEra_MustReadAgain(router, feed);
     struct sl_router_effect *effect = SlRouter_AddEffect(
-        router, state->has_snapshot ? Sl_ROUTER_EFFECT_READ_FROM
-                                    : Sl_ROUTER_EFFECT_READ_SNAPSHOT);
+        router, can_continue ? Sl_ROUTER_EFFECT_READ_FROM
+                             : Sl_ROUTER_EFFECT_READ_SNAPSHOT);
     assert(!state->is_reading);
     state->is_reading = true;
     state->is_followed = true;
@@ -361,6 +363,13 @@
                  on_proof_due, router, id);
 }
 
+void
+SlFeeds_ReadAgain(struct sl_router *router, enum sl_feed feed)
+{
+    cancel_read(router, feed);
+    read_feed(router, feed);
+}
+
 void
 SlFeeds_Read(struct sl_router *router, enum sl_feed feed)
 {
@@ -450,7 +459,7 @@
     SlLogLine_Begin(router, "record_unreadable");
     SlLogLine_C(router, "feed", SlFeed_Name(feed));
     SlLogLine_Str(router, "key", record->key);
-    SlLogLine_Int(router, "offset", (int64_t)record->offset);
+    SlLogLine_Offset(router, "offset", record->offset);
     SlLogLine_Error(router, &record->u.err);
     if (record->key_type == Sl_RECORD_ROUTING) {
         /* An older configuration stays in force, or none. */
@@ -489,7 +498,7 @@
         *SlRouting_Limits(routing);
     SlLogLine_Begin(router, "configuration");
     SlLogLine_Int(router, "version", SlRouting_Version(routing));
-    SlLogLine_Int(router, "offset", (int64_t)record->offset);
+    SlLogLine_Offset(router, "offset", record->offset);
     SlLogLine_Int(router, "routes", (int64_t)SlRouting_RouteCount(routing));
     SlLogLine_End(router, Sl_LOG_INFO);
 }
@@ -512,7 +521,7 @@
     router->capacity_changed = true;
     SlLogLine_Begin(router, record->dropped ? "domain_back" : "domain_out");
     SlLogLine_Name(router, "domain", domain);
-    SlLogLine_Int(router, "offset", (int64_t)record->offset);
+    SlLogLine_Offset(router, "offset", record->offset);
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
@@ -532,7 +541,8 @@
 apply_record(struct sl_router *router, enum sl_feed feed,
              const struct sl_record *record)
 {
-    if (!SlRecordCache_Put(router, feed, record)) {
+    if (SlStoreEra_IsOutdated(router, feed, record) ||
+        !SlRecordCache_Put(router, feed, record)) {
         return;
     }
     switch (record->type) {
@@ -574,8 +584,11 @@
     enum sl_feed feed = event->u.feed.feed;
     GArray *missing = SlRecordCache_FindDropped(router, event);
     for (guint i = 0; i < missing->len; i++) {
-        apply_record(router, feed,
-                     &g_array_index(missing, struct sl_record, i));
+        const struct sl_record *drop =
+            &g_array_index(missing, struct sl_record, i);
+        if (!SlStoreEra_IsCarried(router, event, drop)) {
+            apply_record(router, feed, drop);
+        }
     }
     g_array_free(missing, TRUE);
 }
@@ -596,7 +609,10 @@
                 : event->u.feed.next_offset;
     }
     for (size_t i = 0; i < event->u.feed.count; i++) {
-        apply_record(router, feed, &event->u.feed.records[i]);
+        const struct sl_record *record = &event->u.feed.records[i];
+        if (!SlStoreEra_IsOlderCopy(router, event, record)) {
+            apply_record(router, feed, record);
+        }
     }
     if (event->u.feed.next_offset > state->next_offset &&
         (event->type == Sl_ROUTER_EVENT_FEED_READ ||
@@ -608,6 +624,7 @@
         router->has_store_updates = true;
     }
     state->has_snapshot = true;
+    state->must_read_again = false;
     state->behind_since_us = 0;
     state->next_offset = MAX(state->next_offset, event->u.feed.next_offset);
     end_refresh(router, feed);
@@ -712,28 +729,13 @@
 {
     for (int i = 0; i < Sl_FEED_COUNT; i++) {
         struct sl_feed_state *state = &router->feeds[i];
-        if (state->is_followed && state->has_snapshot) {
+        if (state->is_followed && state->has_snapshot &&
+            !SlStoreEra_MustReadAgain(router, (enum sl_feed)i)) {
             state->current_per_store_us = router->now_us;
         }
     }
 }
 
-/* Notes the era that the store has stated in its answer. */
-static void
-note_era(struct sl_router *router, uint64_t era)
-{
-    if (era <= router->store_era) {
-        return;
-    }
-    if (router->store_era != 0) {
-        SlLogLine_Begin(router, "store_era");
-        SlLogLine_Int(router, "era", (int64_t)era);
-        SlLogLine_Int(router, "before", (int64_t)router->store_era);
-        SlLogLine_End(router, Sl_LOG_WARN);
-    }
-    router->store_era = era;
-}
-
 /* Handles the success of a read of `feed` by this router. */
 static void
 on_store_answered(struct sl_router *router, enum sl_feed feed)
@@ -770,17 +772,26 @@
         on_read_failed(router, feed, event->err);
         return;
     }
+    if (event->u.feed.era != 0 && event->u.feed.era < router->store_era) {
+        /* The response has waited since before the store came back. */
+        read_after(router, feed, Sl_READ_RETRY_US);
+        return;
+    }
     int64_t proven_before_us = proven_us(router);
     router->store_answered_us = router->now_us;
     note_store_answered(router, router->now_us);
-    note_era(router, event->u.feed.era);
+    if (SlStoreEra_Note(router, event->u.feed.era)) {
+        resend_reads(router, feed);
+    }
     on_store_answered(router, feed);
     if (event->u.feed.is_truncated) {
         SlLogLine_Begin(router, "feed_restarted");
         SlLogLine_C(router, "feed", SlFeed_Name(feed));
-        SlLogLine_Int(router, "offset", (int64_t)state->next_offset);
+        SlLogLine_Offset(router, "offset", state->next_offset);
         SlLogLine_End(router, Sl_LOG_WARN);
-        state->has_snapshot = false;
+        /* Records of an earlier era stay in use until then. */
+        state->has_snapshot =
+            state->has_snapshot && SlStoreEra_MustReadAgain(router, feed);
         read_feed(router, feed);
         return;
     }
@@ -811,7 +822,7 @@
     }
     else {
         SlLogLine_Int(router, "records", (int64_t)event->u.feed.count);
-        SlLogLine_Int(router, "end", (int64_t)event->u.feed.next_offset);
+        SlLogLine_Offset(router, "end", event->u.feed.next_offset);
     }
     SlLogLine_End(router, level);
     if (event->err == NULL) {
@@ -940,6 +951,11 @@
 SlFeeds_OnDigest(struct sl_router *router,
                  const struct sl_gossip_digest *digest)
 {
+    for (size_t i = 0; i < Sl_GOSSIP_FEED_COUNT; i++) {
+        if (SlStoreEra_Note(router, SlOffset_Era(digest->offsets[i]))) {
+            resend_reads(router, Sl_FEED_COUNT);
+        }
+    }
     note_freshness(router, digest);
     for (int i = 0; i < Sl_GOSSIP_FEED_COUNT; i++) {
         enum sl_feed feed = (enum sl_feed)i;
--- a/lib/router/sl_record_cache.c
+++ b/lib/router/sl_record_cache.c
@@ -66,6 +66,13 @@
     return drop;
 }
 
+const struct sl_cached_record *
+SlRecordCache_Find(const struct sl_router *router, enum sl_feed feed,
+                   struct sl_str key)
+{
+    return g_hash_table_lookup(router->feeds[feed].cache, &key);
+}
+
 bool
 SlRecordCache_Put(struct sl_router *router, enum sl_feed feed,
                   const struct sl_record *record)
@@ -76,7 +83,15 @@
     if (cached != NULL && cached->offset >= record->offset) {
         return false;
     }
+    int64_t start_wall_ms = cached == NULL ? 0 : cached->start_wall_ms;
+    uint64_t sequence = cached == NULL ? 0 : cached->sequence;
+    if (record->type == Sl_RECORD_UPSTREAM && !record->dropped) {
+        start_wall_ms = record->u.upstream.start_wall_ms;
+        sequence = record->u.upstream.sequence;
+    }
     cached = g_new0(struct sl_cached_record, 1);
+    cached->start_wall_ms = start_wall_ms;
+    cached->sequence = sequence;
     cached->offset = record->offset;
     cached->key = (struct sl_str){g_memdup2(record->key.ptr, record->key.len),
                                   record->key.len};
--- a/lib/router/sl_rollout_sessions.c
+++ b/lib/router/sl_rollout_sessions.c
@@ -20,7 +20,8 @@
 double
 SlRolloutSessions_Bucket(const struct sl_rollout *rollout, uint32_t key)
 {
-    return SlHash_Fraction(SlHash_Mix((uint64_t)key << 32 ^ rollout->offset));
+    return SlHash_Fraction(
+        SlHash_Mix((uint64_t)key << 32 ^ rollout->session_seed));
 }
 
 bool
--- a/lib/router/sl_rollout_status.c
+++ b/lib/router/sl_rollout_status.c
@@ -34,7 +34,7 @@
 is_stored(const struct sl_rollout *rollout,
           const struct sl_rollout_status *status)
 {
-    return rollout->has_stored_status &&
+    return rollout->has_stored_status && !rollout->is_status_lost &&
            status->state == rollout->stored_state &&
            status->ramped == rollout->stored_status_ramped;
 }
@@ -58,8 +58,7 @@
     record->u.status = *status;
     SlRollouts_BeginLog(router, rollout, "rollout_write");
     SlLogLine_C(router, "state", SlRollouts_StateName(status->state));
-    SlLogLine_Int(router, "at",
-                  (int64_t)effect->u.append.expected_next_offset);
+    SlLogLine_Offset(router, "at", effect->u.append.expected_next_offset);
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
@@ -80,6 +79,7 @@
     size_t rank = SlPeers_Rank(router, SlName_Str(&rollout->order.service));
     if (rollout->append_token == 0 &&
         router->feeds[Sl_FEED_STATUS].has_snapshot &&
+        SlStoreEra_MayWrite(router, rollout) &&
         router->now_us >= rollout->append_retry_us &&
         router->now_us - rollout->wanted_since_us >=
             (int64_t)rank * Sl_RANK_DELAY_US) {
--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -124,7 +124,7 @@
     SlLogLine_Begin(router, event);
     SlLogLine_Name(router, "service", &rollout->order.service);
     SlLogLine_Name(router, "target", &rollout->order.version);
-    SlLogLine_Int(router, "order", (int64_t)rollout->offset);
+    SlLogLine_Offset(router, "order", rollout->offset);
     SlLogLine_Int(router, "elapsed_ms",
                   SlRollouts_ElapsedUs(router, rollout) / Sl_US_PER_MS);
     SlLogLine_Int(router, "duration_ms",
@@ -559,10 +559,14 @@
     g_hash_table_iter_init(&iter, router->rollouts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct sl_rollout *rollout = value;
-        if (is_over(rollout)) {
+        if (is_over(rollout) && !rollout->is_status_lost) {
             continue;
         }
         has_running = true;
+        if (is_over(rollout)) {
+            SlRolloutStatus_Update(router, rollout, rollout->stored_state);
+            continue;
+        }
         if (!rollout->is_suspect) {
             evaluate_target(router, rollout);
             update_ramp(router, rollout);
@@ -620,10 +624,14 @@
     if (rollout == NULL || status->order != rollout->offset) {
         return;
     }
+    if (is_over(rollout) && status->state == Sl_ROLLOUT_RUNNING) {
+        return; /* of an earlier time, from a copy of the store */
+    }
     if (!rollout->has_stored_status) {
         set_beginning(router, rollout, status);
     }
     rollout->has_stored_status = true;
+    rollout->is_status_lost = false;
     rollout->stored_state = status->state;
     rollout->stored_status_ramped = status->ramped;
     if (status->ramped && rollout->ramped_us == 0) {
@@ -695,6 +703,29 @@
     }
 }
 
+/* Returns true if the record is the order of the roll-out in a later era of
+ * the store: the operator has written it again, or it was not lost. */
+static bool
+is_written_again(const struct sl_rollout *rollout,
+                 const struct sl_record *record)
+{
+    return SlOffset_Era(record->offset) > SlOffset_Era(rollout->offset) &&
+           SlName_Equal(&record->u.rollout.version, &rollout->order.version);
+}
+
+void
+SlRollouts_OnStoreEra(struct sl_router *router)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->rollouts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct sl_rollout *rollout = value;
+        rollout->is_status_lost = rollout->has_stored_status;
+    }
+    SlRollouts_Update(router);
+}
+
 void
 SlRollouts_OnOrder(struct sl_router *router, const struct sl_record *record)
 {
@@ -711,9 +742,16 @@
         }
         return;
     }
+    if (rollout != NULL && is_written_again(rollout, record)) {
+        rollout->offset = record->offset;
+        rollout->is_status_lost = true; /* it names another order */
+        SlRollouts_Update(router);
+        return;
+    }
     rollout = g_new0(struct sl_rollout, 1);
     rollout->order = *order;
     rollout->offset = record->offset;
+    rollout->session_seed = (uint32_t)record->offset;
     rollout->began_us = router->now_us;
     rollout->counting_since_us = router->now_us;
     rollout->at_baseline = g_hash_table_new_full(NULL, NULL, NULL, g_free);
--- a/lib/router/sl_router.h
+++ b/lib/router/sl_router.h
@@ -115,6 +115,15 @@
 
 /* ---- 2. Records ------------------------------------------------------- */
 
+/* Offsets number the records of a topic. The store may come back from a copy
+ * of itself: it then has lost the newest records, gives their numbers out
+ * again, and its era grows. The upper bits of an offset are the era, so that
+ * offsets of a later era are greater: one more than the store states, or 0 if
+ * it states none. */
+uint64_t SlOffset_Of(uint64_t era, uint64_t number);
+uint64_t SlOffset_Era(uint64_t offset);
+uint64_t SlOffset_Number(uint64_t offset);
+
 /* Feeds: the topics of the store that a router follows. A topic keeps the
  * newest record of each key. Each change has an offset, which grows. */
 enum sl_feed {
@@ -308,10 +317,10 @@
             /* PULLED: the peer knows all drops of keys from this offset. */
             uint64_t complete_from;
             /* The store no longer has some of the records from the requested
-             * offset on. */
+             * offset on, or is in a later era. */
             bool is_truncated;
             uint64_t next_offset; /* offset of the next record */
-            uint64_t era; /* READ: of the store's history; 0: not known */
+            uint64_t era;         /* READ: of the store, as in offsets */
             size_t count;
             const struct sl_record *records;
         } feed;
--- a/lib/router/sl_router_effects.c
+++ b/lib/router/sl_router_effects.c
@@ -135,6 +135,12 @@
     SlLogLine_Str(router, key, SlStr_FromC(value));
 }
 
+void
+SlLogLine_Offset(struct sl_router *router, const char *key, uint64_t offset)
+{
+    SlLogLine_Int(router, key, (int64_t)SlOffset_Number(offset));
+}
+
 void
 SlLogLine_Int(struct sl_router *router, const char *key, int64_t value)
 {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -5,6 +5,8 @@
  * sl_dump.c              the state as JSON
  * sl_process_pause.c     recovery after the process was suspended
  * sl_feeds.c             follows the store's topics
+ * sl_store_era.c         what holds after the store came back from a copy
+ * sl_offset.c            offsets of records
  * sl_initial_sync.c      source of a starting router's first records
  * sl_record_cache.c      the newest records, which peers may pull
  * sl_startup_queue.c     requests held until a configuration is known
@@ -310,7 +312,9 @@
     int64_t full_share_us;  /* when the target's share became the whole; 0: not
                                yet */
     bool is_suspect;        /* the evidence shows that the target is bad */
+    uint32_t session_seed;  /* orders the sessions; see SlRolloutSessions */
     bool has_stored_status; /* the store has a status of this roll-out */
+    bool is_status_lost;    /* it has lost it, or has an older one */
     enum sl_rollout_state stored_state; /* `state` of that status */
     bool stored_status_ramped;          /* `ramped` of that status */
     enum sl_rollout_state wanted_state; /* the state that it should have */
@@ -503,6 +507,9 @@
     size_t value_len;
     enum sl_record_type type;
     struct sl_name name; /* of what it is about, if a drop has an effect */
+    /* Of an upstream's registration, or the last one before the drop. */
+    int64_t start_wall_ms;
+    uint64_t sequence;
 };
 
 /* What the next digest to the routers that get their updates from this one
@@ -539,6 +546,8 @@
     int64_t behind_since_us;  /* when a peer was first seen to be ahead; 0:
                                  none is */
     bool has_snapshot;        /* the newest record of every key was read */
+    bool must_read_again;     /* the next read is of all keys, though the
+                                 records stay in use until then */
     uint64_t complete_from;   /* drops of keys are known from this offset on */
     bool is_refreshing;       /* not confirmed to be current since the process
                               was paused */
@@ -577,6 +586,8 @@
     enum sl_log_request_state line_request_state;
 
     struct sl_feed_state feeds[Sl_FEED_COUNT];
+    /* Records that the store has lost stay in force until then at most. */
+    int64_t carried_until_us;
     uint64_t store_era;        /* the newest that the store has stated */
     int64_t store_answered_us; /* when the store last answered this router; 0:
                                   never */
@@ -817,6 +828,9 @@
                     const struct sl_name *value);
 void SlLogLine_C(struct sl_router *router, const char *key, const char *value);
 void SlLogLine_Int(struct sl_router *router, const char *key, int64_t value);
+/* Adds the number of an offset, without its era. */
+void SlLogLine_Offset(struct sl_router *router, const char *key,
+                      uint64_t offset);
 /* Adds a number, given as decimal digits without leading zeros. */
 void SlLogLine_Number(struct sl_router *router, const char *key,
                       struct sl_str digits);
@@ -1206,6 +1220,9 @@
  * Handles an operator's order of a roll-out, or its removal. */
 void SlRollouts_OnOrder(struct sl_router *router,
                         const struct sl_record *record);
+/* Handles that the store is in a later era: it may have lost statuses, which
+ * are written again. */
+void SlRollouts_OnStoreEra(struct sl_router *router);
 /* Handles a status that a router has written to the store. */
 void SlRollouts_OnStatus(struct sl_router *router,
                          const struct sl_record *record);
@@ -1764,6 +1781,8 @@
 /* Schedules the first digests, and the record that registers this router as a
  * member of the fleet. */
 void SlDigests_Start(struct sl_router *router);
+/* Schedules that record again, as the store may have lost it. */
+void SlDigests_RegisterAgain(struct sl_router *router);
 /* Handles that this router's member record was written, or could not be
  * written, with `err`. */
 void SlDigests_OnRegistered(struct sl_router *router,
@@ -1889,6 +1908,8 @@
 void SlFeeds_Start(struct sl_router *router);
 /* Frees what the feeds have allocated, but not the router. */
 void SlFeeds_Free(struct sl_router *router);
+/* Reads a feed now, instead of a read that is under way or scheduled. */
+void SlFeeds_ReadAgain(struct sl_router *router, enum sl_feed feed);
 /* Reads a feed now, unless a read is under way or scheduled. */
 void SlFeeds_Read(struct sl_router *router, enum sl_feed feed);
 /* Reads the feeds that the choice of an upstream depends on, without waiting
@@ -1926,10 +1947,46 @@
 void SlFeeds_OnDigest(struct sl_router *router,
                       const struct sl_gossip_digest *digest);
 
+/* ---- era of the store ---- */
+
+/* Handles that the store is in `era`, according to its answer or to a peer; 0:
+ * it states none. Returns true if it has come back from a copy: the reads that
+ * are under way must be sent again. */
+bool SlStoreEra_Note(struct sl_router *router, uint64_t era);
+/* Returns true if the feed has to be read as a whole, as its records are of an
+ * earlier era. They stay in use until then. */
+bool SlStoreEra_MustReadAgain(const struct sl_router *router,
+                              enum sl_feed feed);
+/* Returns true if the roll-out's status may be written: the router knows what
+ * the store has in this era, and an order that the store has lost has been
+ * written again. */
+bool SlStoreEra_MayWrite(const struct sl_router *router,
+                         const struct sl_rollout *rollout);
+/* Returns true if what `drop` is about stays in force, although the store's
+ * copy in the event lacks its key. */
+bool SlStoreEra_IsCarried(const struct sl_router *router,
+                          const struct sl_router_event *event,
+                          const struct sl_record *drop);
+/* Returns true if the record, of the event, is of the store's copy and older
+ * than the known one of its key. */
+bool SlStoreEra_IsOlderCopy(const struct sl_router *router,
+                            const struct sl_router_event *event,
+                            const struct sl_record *record);
+/* Returns true if the record is of a later era than the known one of its key,
+ * but says itself that it is older. */
+bool SlStoreEra_IsOutdated(const struct sl_router *router, enum sl_feed feed,
+                           const struct sl_record *record);
+/* Returns the era as the store states it; -1: it states none. */
+int64_t SlStoreEra_Stated(const struct sl_router *router);
+
 /* ---- record cache ---- */
 
 /* Returns an empty cache of a feed: key -> struct sl_cached_record, owned. */
 GHashTable *SlRecordCache_New(void);
+/* Returns the record of the key; NULL if there is none. */
+const struct sl_cached_record *
+SlRecordCache_Find(const struct sl_router *router, enum sl_feed feed,
+                   struct sl_str key);
 /* Stores the record. Returns false if the cache has a record of the same key
  * already that is as new or newer. */
 bool SlRecordCache_Put(struct sl_router *router, enum sl_feed feed,
--- a/lib/router/sl_router_metrics.c
+++ b/lib/router/sl_router_metrics.c
@@ -218,7 +218,7 @@
         {"sassafrasledge_store_era",
          Sl_METRIC_GAUGE,
          "Era of the store's history that this process goes by; it rises when "
-         "the store comes back from a copy.",
+         "the store comes back from a copy; -1: none is stated.",
          {NULL},
          NULL},
     [Sl_ROUTER_METRIC_READY] = {"sassafrasledge_ready",
@@ -630,7 +630,8 @@
               age_ms == UINT32_MAX
                   ? -1
                   : to_seconds((int64_t)age_ms * Sl_US_PER_MS));
-    set_gauge(router, Sl_ROUTER_METRIC_STORE_ERA, (double)router->store_era);
+    set_gauge(router, Sl_ROUTER_METRIC_STORE_ERA,
+              (double)SlStoreEra_Stated(router));
     set_gauge(router, Sl_ROUTER_METRIC_READY,
               SlRouter_IsReady(router) ? 1 : 0);
     set_upstreams(router);
--- a/lib/router/sl_upstreams.c
+++ b/lib/router/sl_upstreams.c
@@ -50,7 +50,7 @@
     SlLogLine_Name(router, "address", &upstream->registration.address);
     SlLogLine_Name(router, "domain", &upstream->registration.domain);
     SlLogLine_Name(router, "version", &upstream->registration.version);
-    SlLogLine_Int(router, "offset", (int64_t)upstream->offset);
+    SlLogLine_Offset(router, "offset", upstream->offset);
     SlLogLine_Int(router, "cold_ms",
                   upstream->registration.cold_us / Sl_US_PER_MS);
     SlLogLine_End(router, Sl_LOG_INFO);
--- a/tests/props/router_requests.cc
+++ b/tests/props/router_requests.cc
@@ -224,7 +224,7 @@
         reg.version = SlName_Of("v1");
         reg.slots = 2;
         reg.cold_us = below(4) == 0 ? Sl_US_PER_S : 0;
-        reg.sequence = simulation.topics[Sl_FEED_UPSTREAMS].end();
+        reg.sequence = simulation.topics[Sl_FEED_UPSTREAMS].size();
         reg.draining = drains;
         if (below(3) == 0) {
             start_counts[index]++;
--- a/tests/unit/router_fleet.h
+++ b/tests/unit/router_fleet.h
@@ -147,6 +147,33 @@
         }
     }
 
+    // The store states eras, takes a copy of itself, and comes back from it.
+    void
+    set_era(uint64_t era)
+    {
+        for (auto &router : routers) {
+            for (Topic &topic : router->topics) {
+                topic.era = era;
+            }
+        }
+    }
+
+    void
+    copy_store()
+    {
+        for (auto &router : routers) {
+            router->copy_store();
+        }
+    }
+
+    void
+    restore_store()
+    {
+        for (auto &router : routers) {
+            router->restore_store();
+        }
+    }
+
     uint64_t
     end(enum sl_feed feed) const
     {
--- a/tests/unit/router_script.cc
+++ b/tests/unit/router_script.cc
@@ -515,7 +515,7 @@
         reg.cold_us = args.number("cold") * Sl_US_PER_MS;
         reg.start_wall_ms = args.number("started");
         reg.sequence = (uint64_t)args.number(
-            "seq", (int64_t)simulation.topics[Sl_FEED_UPSTREAMS].end());
+            "seq", (int64_t)simulation.topics[Sl_FEED_UPSTREAMS].size());
         reg.draining = args.has_word("draining");
         simulation.append(Sl_FEED_UPSTREAMS, args.words.at(1), record);
     }
@@ -567,7 +567,9 @@
         record.u.status.version = args.name_at(2);
         record.u.status.state = states.at(args.words.at(3));
         record.u.status.ramped = args.has_word("ramped");
-        record.u.status.order = (uint64_t)args.number("order");
+        record.u.status.order =
+            SlOffset_Of(simulation.topics[Sl_FEED_OPERATORS].era,
+                        (uint64_t)args.number("order"));
         simulation.append(Sl_FEED_STATUS, "rollout/" + args.words.at(1),
                           record);
     }
@@ -576,6 +578,20 @@
     on_store(const script_line &args)
     {
         const std::string &state = args.words.at(1);
+        if (state == "copied") {
+            simulation.copy_store();
+            return;
+        }
+        if (state == "restored") {
+            simulation.restore_store();
+            return;
+        }
+        if (state == "states-era") {
+            for (Topic &topic : simulation.topics) {
+                topic.era = 1;
+            }
+            return;
+        }
         simulation.store_up = state == "up" || state == "misses";
         simulation.store_lacks_updates = state == "misses";
         simulation.store_response_us =
--- a/tests/unit/router_simulation.h
+++ b/tests/unit/router_simulation.h
@@ -33,39 +33,72 @@
 // of its records.
 class Topic {
   public:
+    // As in offsets; 0: the store states none.
+    uint64_t era = 0;
+
     Topic() = default;
     Topic(const Topic &) = delete;
     Topic &operator=(const Topic &) = delete;
 
     ~Topic()
     {
-        for (struct sl_record &record : records) {
+        for (struct sl_record &record : owned) {
             if (record.type == Sl_RECORD_ROUTING && !record.dropped) {
                 SlRouting_Unref(record.u.routing);
             }
         }
     }
 
+    size_t
+    size() const
+    {
+        return records.size();
+    }
+
     uint64_t
     end() const
     {
-        return records.size();
+        return SlOffset_Of(era, records.size());
+    }
+
+    // Returns true if a read from the offset can go on.
+    bool
+    has(uint64_t offset) const
+    {
+        return SlOffset_Era(offset) == era &&
+               SlOffset_Number(offset) <= records.size();
     }
 
     void
     append(const std::string &key, struct sl_record record)
     {
         record.offset = end();
-        keys.push_back(std::make_unique<std::string>(key));
-        record.key = view(*keys.back());
-        record.value = record.dropped ? Sl_STR("") : Sl_STR("{}");
+        texts.push_back(std::make_unique<std::string>(key));
+        record.key = view(*texts.back());
+        texts.push_back(std::make_unique<std::string>(value_of(record)));
+        record.value = view(*texts.back());
         records.push_back(record);
+        owned.push_back(record);
+        history[record.offset] = record;
+    }
+
+    // Loses the records after the first `count`, in a new era.
+    void
+    restore(size_t count)
+    {
+        records.resize(std::min(count, records.size()));
+        era++;
+        for (size_t i = 0; i < records.size(); i++) {
+            records[i].offset = SlOffset_Of(era, i);
+            history[records[i].offset] = records[i];
+        }
     }
 
+    // Returns a record of this era, or of an earlier one.
     const struct sl_record &
     at(uint64_t offset) const
     {
-        return records.at(offset);
+        return history.at(offset);
     }
 
     // Returns the records from an offset on, only the newest of each key.
@@ -74,11 +107,11 @@
     {
         std::map<std::string, size_t> newest;
         for (size_t i = 0; i < records.size(); i++) {
-            newest[*keys[i]] = i;
+            newest[text(records[i].key)] = i;
         }
         std::vector<struct sl_record> out;
-        for (size_t i = offset; i < records.size(); i++) {
-            if (newest[*keys[i]] == i) {
+        for (size_t i = SlOffset_Number(offset); i < records.size(); i++) {
+            if (newest[text(records[i].key)] == i) {
                 out.push_back(records[i]);
             }
         }
@@ -100,7 +133,19 @@
 
   private:
     std::vector<struct sl_record> records;
-    std::vector<std::unique_ptr<std::string>> keys;
+    std::vector<struct sl_record> owned; // all records ever appended
+    std::map<uint64_t, struct sl_record> history;
+    std::vector<std::unique_ptr<std::string>> texts; // keys and values
+
+    // Differs for roll-outs of different versions.
+    static std::string
+    value_of(const struct sl_record &record)
+    {
+        return record.dropped ? ""
+               : record.type == Sl_RECORD_ROLLOUT
+                   ? record.u.rollout.version.text
+                   : "{}";
+    }
 };
 
 // Bounds of a small deployment.
@@ -276,6 +321,23 @@
         tick();
     }
 
+    // The store takes a copy of itself; later it comes back from it.
+    void
+    copy_store()
+    {
+        for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
+            copied[feed] = topics[feed].size();
+        }
+    }
+
+    void
+    restore_store()
+    {
+        for (int feed = 0; feed < Sl_FEED_COUNT; feed++) {
+            topics[feed].restore(copied[feed]);
+        }
+    }
+
     void
     append(enum sl_feed feed, const std::string &key,
            const struct sl_record &record)
@@ -306,6 +368,7 @@
     struct sl_router_effects *effects;
     std::vector<pending_check> checks;
     pending_read reads[Sl_FEED_COUNT];
+    size_t copied[Sl_FEED_COUNT] = {}; // records in the store's copy
     bool is_completing_reads = false;
 
     void
@@ -398,7 +461,7 @@
         if (!store_up) {
             return !store_silent;
         }
-        return pending.is_snapshot ||
+        return pending.is_snapshot || !topics[feed].has(pending.from) ||
                (topics[feed].end() > pending.from && !pending.lacks_updates);
     }
 
@@ -456,8 +519,14 @@
         }
         else {
             const Topic &topic = topics[feed];
-            records = reads[feed].is_snapshot ? topic.snapshot()
-                                              : topic.from(reads[feed].from);
+            event.u.feed.era = topic.era;
+            event.u.feed.is_truncated =
+                !reads[feed].is_snapshot && !topic.has(reads[feed].from);
+            if (!event.u.feed.is_truncated) {
+                records = reads[feed].is_snapshot
+                              ? topic.snapshot()
+                              : topic.from(reads[feed].from);
+            }
             event.u.feed.is_snapshot = reads[feed].is_snapshot;
             event.u.feed.next_offset = topic.end();
             event.u.feed.count = records.size();
--- /dev/null
+++ b/tests/unit/router_store_era.cc
@@ -0,0 +1,194 @@
+// The store comes back from a copy of itself, as seen by whole fleets.
+#include <gtest/gtest.h>
+
+#include "router_fleet.h"
+
+extern "C" {
+#include "sl_router_internal.h"
+}
+
+namespace {
+
+struct sl_record
+configuration(uint64_t version)
+{
+    return keyed_routing(version, {"key"});
+}
+
+// A fleet that has lost what was written after a copy of the store: version 2
+// of the configuration, and that an upstream drains.
+class RestoredFleet {
+  public:
+    Fleet fleet;
+    // Routers that the store refuses.
+    std::set<size_t> refused;
+
+    explicit RestoredFleet(size_t routers)
+    {
+        fleet.encodes_digests = true;
+        fleet.seeds = {"e1", "e2"};
+        fleet.on_call = [](const FleetCall &) { return FleetResponse(); };
+        fleet.start(routers, small_bounds());
+        fleet.set_era(1);
+        fleet.append(Sl_FEED_OPERATORS, "config", configuration(1));
+        register_upstream("u", 1, false);
+        register_upstream("v", 1, false);
+        fleet.advance_ms(3000);
+        fleet.copy_store();
+        fleet.append(Sl_FEED_OPERATORS, "config", configuration(2));
+        register_upstream("u", 2, true);
+        fleet.advance_ms(3000);
+        expect_in_force(2);
+    }
+
+    void
+    register_upstream(const std::string &id, uint64_t sequence, bool draining)
+    {
+        struct sl_record record = upstream_record(id, "plain", "v1", 64);
+        record.u.upstream.start_wall_ms = 100;
+        record.u.upstream.sequence = sequence;
+        record.u.upstream.draining = draining;
+        fleet.append(Sl_FEED_UPSTREAMS, id, record);
+    }
+
+    void
+    set_store(bool is_up)
+    {
+        for (size_t i = 0; i < fleet.size(); i++) {
+            fleet.router(i).store_up = is_up && refused.count(i) == 0;
+        }
+    }
+
+    void
+    restore()
+    {
+        set_store(false);
+        fleet.advance_ms(500);
+        fleet.restore_store();
+        set_store(true);
+    }
+
+    // Lets time pass in which no router may go back.
+    void
+    observe_ms(int64_t ms, int64_t version)
+    {
+        for (int64_t i = 0; i < ms; i += 100) {
+            fleet.advance_ms(100);
+            expect_in_force(version);
+        }
+    }
+
+    // Expects that all routers have this version at least, and know that the
+    // upstream drains.
+    void
+    expect_in_force(int64_t version)
+    {
+        for (size_t i = 0; i < fleet.size(); i++) {
+            const struct sl_router *router = fleet.router(i).router;
+            struct sl_name u = SlName_Of("u");
+            const auto *upstream =
+                static_cast<const struct sl_router_upstream *>(
+                    g_hash_table_lookup(router->upstreams, &u));
+            if (fleet.frozen.count(i) > 0) {
+                continue;
+            }
+            ASSERT_NE(router->routing, nullptr) << i;
+            EXPECT_GE(SlRouting_Version(router->routing), version) << i;
+            EXPECT_TRUE(upstream == nullptr || upstream->registration.draining)
+                << i;
+        }
+    }
+
+    // The bound for changes is 2 s.
+    void
+    expect_change_in_force(uint64_t version)
+    {
+        fleet.append(Sl_FEED_OPERATORS, "config", configuration(version));
+        fleet.advance_ms(2000);
+        expect_in_force((int64_t)version);
+    }
+};
+
+const size_t fleet_sizes[] = {1, 4, 30, 68};
+
+TEST(StoreEra, NothingInForceIsUndoneAndChangesComeInTime)
+{
+    for (size_t routers : fleet_sizes) {
+        RestoredFleet restored(routers);
+        restored.restore();
+        restored.observe_ms(2000, 2);
+        restored.expect_change_in_force(3);
+    }
+}
+
+TEST(StoreEra, HoldsAfterSeveralReturns)
+{
+    for (size_t routers : fleet_sizes) {
+        RestoredFleet restored(routers);
+        for (uint64_t version = 3; version < 6; version++) {
+            restored.restore();
+            restored.observe_ms(1000, (int64_t)version - 1);
+            restored.expect_change_in_force(version);
+        }
+    }
+}
+
+// Routers that the store refuses learn of it from their peers.
+TEST(StoreEra, ReachesRoutersThatTheStoreRefuses)
+{
+    for (size_t routers : {4, 30}) {
+        RestoredFleet restored(routers);
+        for (size_t i = 0; i < routers; i += 2) {
+            restored.refused.insert(i);
+        }
+        restored.restore();
+        restored.observe_ms(1000, 2);
+        restored.expect_change_in_force(3);
+    }
+}
+
+TEST(StoreEra, IsLearntByARouterThatSleptThroughTwo)
+{
+    RestoredFleet restored(4);
+    restored.fleet.frozen.insert(0);
+    restored.restore();
+    restored.observe_ms(1000, 2);
+    restored.restore();
+    restored.observe_ms(1000, 2);
+    restored.fleet.frozen.clear();
+    restored.observe_ms(1000, 2);
+    restored.expect_change_in_force(3);
+}
+
+// A router that starts meanwhile gets from its peers what the store has lost.
+TEST(StoreEra, DoesNotUndoWhatARestartedRouterGetsFromPeers)
+{
+    RestoredFleet restored(4);
+    restored.restore();
+    restored.fleet.advance_ms(300);
+    restored.fleet.restart(1);
+    restored.fleet.advance_ms(3000);
+    restored.expect_change_in_force(3);
+}
+
+// Lost records are not asked for again and again.
+TEST(StoreEra, CostsFewReads)
+{
+    for (size_t routers : {4, 30}) {
+        RestoredFleet restored(routers);
+        unsigned before = 0;
+        unsigned after = 0;
+        for (size_t i = 0; i < routers; i++) {
+            before += restored.fleet.router(i).reads_started;
+        }
+        restored.restore();
+        restored.observe_ms(3000, 2);
+        for (size_t i = 0; i < routers; i++) {
+            after += restored.fleet.router(i).reads_started;
+        }
+        // Reads that fail while the store is away count as well.
+        EXPECT_LE(after - before, 60 + 6 * routers) << routers;
+    }
+}
+
+} // namespace
