soak: limits that runners state, and a store that comes back from a copy

Runners without other faults state a limit for 9 s; at the end, the requests of the routers that were told, and neither restarted nor paused, are held against the rule. The store takes a copy and comes back from it in a later era; the operator writes again at once what is lost, the runners with their next heartbeats, and the store deletes the entries of those that are gone.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -13,15 +13,20 @@
 //              restarts
 //   drained    a router that reaches the store sends nothing to a drained
 //              runner
+//   limit      a runner that states a limit gets no more from the routers that
+//              it has told, unless they were restarted or paused
 //   budget     retries stay within the retry budget of all routers
 //   rollout    a version whose responses all fail gets no more than its share
 //              of the requests, and its roll-out is not reported as completed
 //   exit       no router exits by itself; one that drains exits with status 0
-// "answered" and "drained" depend on timing; --untimed disables them.
+// "answered", "drained" and "limit" depend on timing; --untimed disables them.
+// The store also comes back from a copy of itself, and the operator and the
+// runners write again what it has lost; --no-drills disables that and limits.
 // usage: soak SASSAFRASD DIR [--seed N] [--seconds N] [--host IP]
-//        [--routers N] [--runners N] [--untimed]
+//        [--routers N] [--runners N] [--untimed] [--no-drills]
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -63,6 +68,19 @@
 static const int64_t rollout_s = 6;
 // Number of runners of the new version.
 static const size_t rollout_runners = 2;
+// Requests that a limit allows in each window of this length: more than it by
+// this factor, plus a fixed number. It counts this long after a runner has
+// first stated it, and for a router, this long after it was told.
+static const int64_t limit_window_ms = 4000;
+static const double limit_overshoot = 1.5;
+static const double limit_extra = 5;
+static const int64_t limit_contact_ms = 3000;
+static const int64_t limit_told_ms = 500;
+static const int64_t limit_duration_ms = 9000;
+// A runner registers again this long after the store came back, at the latest.
+static const int64_t heartbeat_ms = 1200;
+// The store deletes the registrations of runners that are gone after this.
+static const int64_t expiry_ms = 3600;
 
 struct Options {
     DeploymentOptions deployment;
@@ -70,6 +88,16 @@
     int64_t seconds = 20;
     size_t runners = 8;
     bool checks_timing = true;
+    bool has_drills = true;
+};
+
+// A limit that a runner has stated.
+struct StatedLimit {
+    std::string runner;
+    double per_s;
+    int64_t from_ms;
+    int64_t until_ms;
+    std::map<size_t, int64_t> told_ms; // by router
 };
 
 class Soak {
@@ -97,7 +125,13 @@
     int64_t store_recovered_ms;
     size_t active_store_faults = 0;
     bool is_target_bad = false;
-    std::string rollout_result;     // final state as reported; empty: none yet
+    std::string rollout_result; // final state as reported; empty: none yet
+    std::vector<StatedLimit> limits;
+    std::set<size_t> limited_slots;
+    std::map<std::string, size_t> router_of; // by request
+    // Signals to routers, with their times.
+    std::vector<std::pair<size_t, int64_t>> signals;
+    uint64_t drill_count = 0;
     size_t runs_before_rollout = 0; // of all requests
     size_t target_runs = 0;         // at the runners of the new version
 
@@ -111,7 +145,8 @@
     enum class RandomStream : uint64_t {
         fault,
         request,
-        rollout
+        rollout,
+        drill
     };
     void
     seed_random(RandomStream stream, uint64_t number)
@@ -143,6 +178,12 @@
     void inject_runner_fault();
     void make_operator_change();
     void check_drained_runners();
+    void inject_next_drill();
+    void start_limit();
+    void end_limit(size_t slot, const StatedLimit &limit);
+    void start_return();
+    void write_lost_records();
+    void check_limit(const StatedLimit &limit);
     void start_rollout();
     void poll_rollout();
     void check_totals();
@@ -227,8 +268,10 @@
 void
 Soak::send(const ClientRequest &request, int attempts_left)
 {
+    size_t router = pick_live_router();
+    router_of[request.id] = router;
     deployment.send_request(
-        pick_live_router(), request,
+        router, request,
         [this, attempts_left](const ClientResponse &response) {
             check_response(response);
             if (response.status == 503 && attempts_left > 1 && !is_ending) {
@@ -409,6 +452,7 @@
 {
     size_t index = random_below(deployment.routers.size());
     RouterProcess &router = deployment.routers[index];
+    signals.emplace_back(index, now_ms());
     if (router.pid == 0) {
         deployment.start_router(index);
         return;
@@ -475,8 +519,11 @@
     static const LinkFault link_faults[] = {
         LinkFault::delay, LinkFault::partition, LinkFault::partition_forward,
         LinkFault::partition_backward, LinkFault::refuse};
-    Proxy &proxy =
-        *deployment.slots[random_below(deployment.slots.size())]->proxy;
+    size_t slot = random_below(deployment.slots.size());
+    Proxy &proxy = *deployment.slots[slot]->proxy;
+    if (limited_slots.count(slot) > 0) {
+        return; // what a link has held up would arrive at once
+    }
     if (random_below(3) == 0) {
         proxy.close_connections();
         return;
@@ -492,7 +539,7 @@
 {
     size_t index = random_below(deployment.slots.size());
     RunnerSlot &slot = *deployment.slots[index];
-    if (index >= options.runners) {
+    if (index >= options.runners || limited_slots.count(index) > 0) {
         return; // runners of the roll-out have no random faults
     }
     if (slot.runner == nullptr) {
@@ -566,6 +613,169 @@
     }
 }
 
+// ---- drills ----
+
+void
+Soak::inject_next_drill()
+{
+    if (is_ending) {
+        return;
+    }
+    seed_random(RandomStream::drill, ++drill_count);
+    if (random_below(2) == 0) {
+        start_limit();
+    }
+    else {
+        start_return();
+    }
+    schedule(500 + (int64_t)random_below(3000),
+             [this] { inject_next_drill(); });
+}
+
+// A runner without faults states a limit for some time.
+void
+Soak::start_limit()
+{
+    size_t first = random_below(options.runners);
+    double per_s = 1 + (double)random_below(30) / 10;
+    for (size_t i = 0; i < options.runners; i++) {
+        size_t index = (first + i) % options.runners;
+        RunnerSlot &slot = *deployment.slots[index];
+        if (slot.runner == nullptr || slot.is_draining ||
+            slot.runner->fault != RunnerFault::none ||
+            limited_slots.count(index) > 0) {
+            continue;
+        }
+        StatedLimit limit = {slot.runner->options.id, per_s, now_ms(), 0, {}};
+        limited_slots.insert(index);
+        slot.runner->limit_per_s = per_s;
+        slot.runner->limit_stated_ms.clear();
+        schedule(limit_duration_ms,
+                 [this, index, limit] { end_limit(index, limit); });
+        return;
+    }
+}
+
+void
+Soak::end_limit(size_t index, const StatedLimit &limit)
+{
+    RunnerSlot &slot = *deployment.slots[index];
+    StatedLimit ended = limit;
+    limited_slots.erase(index);
+    if (slot.runner == nullptr || slot.runner->options.id != limit.runner) {
+        return; // it was stopped meanwhile
+    }
+    slot.runner->limit_per_s = 0;
+    ended.until_ms = now_ms();
+    for (const auto &stated : slot.runner->limit_stated_ms) {
+        size_t router = router_of[stated.first];
+        auto at = ended.told_ms.insert({router, stated.second}).first;
+        at->second = std::min(at->second, stated.second);
+    }
+    limits.push_back(ended);
+}
+
+// Checks the requests of the routers that were told, and neither restarted nor
+// paused.
+void
+Soak::check_limit(const StatedLimit &limit)
+{
+    std::vector<int64_t> arrivals_ms;
+    std::set<size_t> excused;
+    for (const auto &signal : signals) {
+        if (signal.second <= limit.until_ms) {
+            excused.insert(signal.first);
+        }
+        if (signal.second < limit.from_ms - max_fault_ms - 1000) {
+            excused.erase(signal.first);
+        }
+    }
+    deployment.runs.for_each([&](const Run &run) {
+        size_t router = router_of[run.request];
+        auto told = limit.told_ms.find(router);
+        if (run.runner == limit.runner && told != limit.told_ms.end() &&
+            run.started_ms > told->second + limit_told_ms &&
+            run.started_ms > limit.from_ms + limit_contact_ms &&
+            run.started_ms < limit.until_ms && excused.count(router) == 0) {
+            arrivals_ms.push_back(run.started_ms);
+        }
+    });
+    std::sort(arrivals_ms.begin(), arrivals_ms.end());
+    size_t most = 0;
+    for (size_t first = 0, last = 0; last < arrivals_ms.size(); last++) {
+        while (arrivals_ms[last] - arrivals_ms[first] > limit_window_ms) {
+            first++;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    double allowed =
+        limit_overshoot * limit.per_s * (double)limit_window_ms / 1000 +
+        limit_extra;
+    if ((double)most > allowed) {
+        report_violation("limit", limit.runner + " got " +
+                                      std::to_string(most) +
+                                      " requests in 4 s, allowed " +
+                                      std::to_string(allowed));
+    }
+}
+
+// The store takes a copy, and later comes back from it.
+void
+Soak::start_return()
+{
+    int64_t lost_ms = 500 + (int64_t)random_below(4000);
+    int64_t away_ms = 200 + (int64_t)random_below(1500);
+    if (deployment.store->fault != StoreFault::none) {
+        return;
+    }
+    deployment.store->save_copy();
+    schedule(lost_ms, [this, away_ms] {
+        if (deployment.store->fault != StoreFault::none) {
+            return;
+        }
+        deployment.store->fault = StoreFault::refuse;
+        active_store_faults++;
+        schedule(away_ms, [this] {
+            deployment.store->fault = StoreFault::none;
+            write_lost_records();
+            active_store_faults--;
+            store_recovered_ms = now_ms();
+        });
+    });
+}
+
+// The store comes back. The operator writes again at once what is lost, and
+// the runners with their next heartbeats.
+void
+Soak::write_lost_records()
+{
+    auto lost = deployment.store->restore_copy();
+    for (const auto &record : lost["keyed.op"]) {
+        deployment.store->put("keyed.op", record.first, record.second);
+    }
+    for (const auto &record : lost["keyed.servers"]) {
+        std::string id = record.first;
+        schedule(expiry_ms, [this, id] {
+            bool is_there = false;
+            for (const auto &slot : deployment.slots) {
+                is_there = is_there ||
+                           (slot->runner != nullptr && slot->is_registered &&
+                            slot->runner->options.id == id);
+            }
+            if (!is_there) {
+                deployment.store->put("keyed.servers", id, "");
+            }
+        });
+    }
+    for (size_t i = 0; i < deployment.slots.size(); i++) {
+        schedule((int64_t)random_below((size_t)heartbeat_ms), [this, i] {
+            if (deployment.slots[i]->is_registered) {
+                deployment.register_runner(i);
+            }
+        });
+    }
+}
+
 // ---- roll-out ----
 
 // Starts the runners of the new version, the target of the roll-out, and
@@ -630,6 +840,11 @@
 void
 Soak::check_totals()
 {
+    for (const StatedLimit &limit : limits) {
+        if (options.checks_timing) {
+            check_limit(limit);
+        }
+    }
     for (const ClientResponse &response : refused_responses) {
         if (!deployment.runs.runs_of(response.request.id).empty()) {
             report_violation("not-run", response.request.id + " ran later");
@@ -712,6 +927,10 @@
     poll_states();
     check_drained_runners();
     schedule(500, [this] { inject_next_fault(); });
+    if (options.has_drills) {
+        deployment.store->era = 1;
+        schedule(1500, [this] { inject_next_drill(); });
+    }
     seed_random(RandomStream::rollout, 1);
     schedule(2000 + (int64_t)random_below(3000), [this] { start_rollout(); });
     deployment.run_for(options.seconds * 1000);
@@ -734,10 +953,12 @@
     });
     check_totals();
     printf("seed %llu: %zu faults, %zu requests answered, %zu well, %zu "
-           "refused, %zu runs, %zu repeats, %s target %s, %zu broken\n",
+           "refused, %zu runs, %zu repeats, %zu limits, %s target %s, %zu "
+           "broken\n",
            (unsigned long long)options.seed, fault_count, response_count,
            complete_count, refused_count, deployment.runs.count(),
-           deployment.runs.retry_count(), is_target_bad ? "bad" : "good",
+           deployment.runs.retry_count(), limits.size(),
+           is_target_bad ? "bad" : "good",
            rollout_result.empty() ? "open" : rollout_result.c_str(),
            violation_count);
     return violation_count == 0 ? 0 : 1;
@@ -750,7 +971,7 @@
 {
     fprintf(stderr,
             "usage: soak SASSAFRASD DIR [--seed N] [--seconds N] [--host IP] "
-            "[--routers N] [--runners N] [--untimed]\n");
+            "[--routers N] [--runners N] [--untimed] [--no-drills]\n");
     return 2;
 }
 
@@ -768,6 +989,10 @@
             options.checks_timing = false;
             continue;
         }
+        if (strcmp(argv[i], "--no-drills") == 0) {
+            options.has_drills = false;
+            continue;
+        }
         if (i + 1 == argc) {
             return usage();
         }
--- a/tests/standins/runner.cc
+++ b/tests/standins/runner.cc
@@ -59,6 +59,16 @@
     run_count++;
 }
 
+void
+RunLog::for_each(const std::function<void(const Run &)> &work) const
+{
+    for (const auto &entry : runs) {
+        for (const Run &run : entry.second) {
+            work(run);
+        }
+    }
+}
+
 const std::vector<Run> &
 RunLog::runs_of(const std::string &request) const
 {
@@ -129,9 +139,14 @@
 }
 
 std::string
-RunnerStandin::headers(const ActiveRun &run) const
+RunnerStandin::headers(const ActiveRun &run)
 {
-    return SL_HEADER "Request-Id: " + run.request +
+    std::string limit;
+    if (limit_per_s > 0) {
+        limit = "Server-Limit: " + std::to_string(limit_per_s) + "\r\n";
+        limit_stated_ms.insert({run.request, now_ms()});
+    }
+    return limit + SL_HEADER "Request-Id: " + run.request +
            "\r\n" SL_HEADER "Server-Stamp: stamp-" + run.request +
            "\r\n" SL_HEADER "Runner-Load: " + std::to_string(running_count) +
            ",0," + std::to_string(options.slots) +
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -79,7 +79,8 @@
     // Takes a copy of all topics, and goes back to it: what was written since
     // is gone, its offsets are given out again, and the era rises by one.
     void save_copy();
-    void restore_copy();
+    // Returns the keys whose newest records are lost, with their values.
+    std::map<std::string, std::map<std::string, std::string>> restore_copy();
     StoreFault fault = StoreFault::none;
     uint64_t calls = 0; // requests received
     uint64_t era = 0;   // that all responses state; 0: none
@@ -133,6 +134,8 @@
 class RunLog {
   public:
     void add(const Run &run);
+    // Calls it with each run.
+    void for_each(const std::function<void(const Run &)> &work) const;
     const std::vector<Run> &runs_of(const std::string &request) const;
     size_t count() const;
     // Number of runs without the first of each request.
@@ -188,6 +191,10 @@
     RunnerFault fault = RunnerFault::none;
     size_t running_count = 0; // now
     size_t started_count = 0; // since it was created
+    // Requests a second that it states as its limit; 0: none.
+    double limit_per_s = 0;
+    // Request -> when the head of its response, with a limit, was sent.
+    std::map<std::string, int64_t> limit_stated_ms;
     // The runner's registration record. `address` is the one that routers
     // connect to.
     std::string registration_json(const std::string &address, bool is_draining,
@@ -207,7 +214,7 @@
     void send_head(uint64_t conn);
     void send_next_event(uint64_t conn);
     void finish_run(uint64_t conn);
-    std::string headers(const ActiveRun &run) const;
+    std::string headers(const ActiveRun &run);
 };
 
 // ---- proxy ----
--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -97,11 +97,19 @@
     copy = topics;
 }
 
-void
+std::map<std::string, std::map<std::string, std::string>>
 StoreStandin::restore_copy()
 {
+    std::map<std::string, std::map<std::string, std::string>> lost;
+    for (const auto &entry : topics) {
+        for (size_t i = copy[entry.first].size(); i < entry.second.size();
+             i++) {
+            lost[entry.first][entry.second[i].key] = entry.second[i].value;
+        }
+    }
     topics = copy;
     era++;
+    return lost;
 }
 
 void
