--- a/tests/unit/router_limits.cc
+++ b/tests/unit/router_limits.cc
@@ -47,7 +47,10 @@
     std::set<size_t> excused; // routers whose requests do not count
     std::function<void(int64_t)> on_step; // with the ms since the start
 
-    explicit LimitedFleet(const Load &the_load) : load(the_load)
+    // With a team, the service's waiting requests are ordered and refused by
+    // admission control.
+    explicit LimitedFleet(const Load &the_load, bool has_team = false)
+        : load(the_load), key(has_team ? "key" : "")
     {
         fleet.wall_step_ms = 137;
         fleet.encodes_digests = true;
@@ -69,11 +72,13 @@
             refused_after_us.push_back(fleet.now() - sent_us.at(conn));
         };
         fleet.start(load.routers, small_bounds());
-        fleet.append(Sl_FEED_OPERATORS, "config", routing_record("s", "/", 3));
+        fleet.append(Sl_FEED_OPERATORS, "config",
+                     has_team ? keyed_routing(1, {key})
+                              : routing_record("plain", "/s/", 3));
         for (size_t i = 0; i < load.upstreams; i++) {
             std::string id = "u" + std::to_string(i);
             fleet.append(Sl_FEED_UPSTREAMS, id,
-                         upstream_record(id, "s", "v1", 64));
+                         upstream_record(id, "plain", "v1", 64));
         }
         start_us = fleet.now();
     }
@@ -95,7 +100,8 @@
                 if (fleet.frozen.count(router) == 0) {
                     std::string session =
                         std::to_string(SlRandom_Below(&random, 1000));
-                    fleet.send_request(router, "/x", session, 3000);
+                    fleet.send_request(router, "/s/x", session, 3000, "m", 0,
+                                       key);
                 }
             }
         }
@@ -165,6 +171,7 @@
 
   private:
     Load load;
+    std::string key;
     struct sl_random random = {7};
     int64_t start_us = 0;
 
@@ -243,21 +250,29 @@
 
 // While nothing else serves the requests, those for which there is no room in
 // time are refused at once.
+void
+expect_early_refusals(const Load &load, bool has_team)
+{
+    LimitedFleet limited(load, has_team);
+    limited.run_until(first_limited_ms + 3000);
+    limited.refused_after_us.clear();
+    limited.run_until(first_limited_ms + limited_ms);
+    limited.expect_limits_held(name_of(load));
+    size_t late = 0;
+    for (int64_t after_us : limited.refused_after_us) {
+        late += after_us > Sl_US_PER_S / 2 ? 1 : 0;
+    }
+    EXPECT_GT(limited.refused_after_us.size(), (size_t)100) << name_of(load);
+    EXPECT_LE(late * 20, limited.refused_after_us.size()) << name_of(load);
+}
+
 TEST(UpstreamLimits, LetNobodyWaitForRoomThatWillNotCome)
 {
     for (const Load &load :
          {Load{1, 1, 1, 1, 20, 0}, Load{4, 3, 3, 1, 60, 0},
           Load{30, 3, 3, 1, 60, 0}, Load{4, 3, 3, 1, 60, 0.9}}) {
-        LimitedFleet limited(load);
-        limited.run_until(first_limited_ms + 3000);
-        limited.refused_after_us.clear();
-        limited.run_until(first_limited_ms + limited_ms);
-        size_t late = 0;
-        for (int64_t after_us : limited.refused_after_us) {
-            late += after_us > Sl_US_PER_S / 2 ? 1 : 0;
-        }
-        EXPECT_GT(limited.refused_after_us.size(), (size_t)100);
-        EXPECT_LE(late * 20, limited.refused_after_us.size()) << name_of(load);
+        expect_early_refusals(load, false);
+        expect_early_refusals(load, true);
     }
 }
 
