router: limits that fluctuate made routers number the slots apart

An upstream that states a slightly different limit in each response gets more than it: with limits of 2 a second that vary by 4%, four routers sent 2.7 to 2.9 (UpstreamLimits.ThatFluctuateAreSplitAsOne, red before).

Cause: each router took the value that it had heard last, and slots are numbered by it: routers with different values owned the same time twice. Each change also gave up the slots that were not used yet.

Change: a statement within a tenth of the known limit confirms it, and of values so close that routers have heard, all take the least.

--- a/lib/router/sl_upstream_limits.c
+++ b/lib/router/sl_upstream_limits.c
@@ -14,7 +14,8 @@
 /* Least limit that is kept. A lower one would keep away even the requests
  * whose responses show that it has ended. */
 #define Sl_MIN_LIMIT_PER_S 0.25
-/* Change of a limit, as a share of it, that is logged and spread at once. */
+/* Change of a limit, as a share of it, that counts. Routers that followed each
+ * smaller one would number the slots apart. */
 #define Sl_NEWS_CHANGE_SHARE 0.1
 /* Unit of limits in digests: requests in so many seconds. */
 #define Sl_REPORT_UNIT_S 1000
@@ -243,23 +244,30 @@
     SlLogLine_End(router, Sl_LOG_INFO);
 }
 
-/* Replaces the upstream's limit by one that was stated later. */
+/* Returns true if the limit differs from the known one by so much that it
+ * replaces it. */
+static bool
+is_news(const struct sl_router_upstream *upstream, double per_s)
+{
+    double known = upstream->limit.per_s;
+    return MAX(per_s - known, known - per_s) > Sl_NEWS_CHANGE_SHARE * known;
+}
+
+/* Replaces the upstream's limit. */
 static void
 set_limit(struct sl_router *router, struct sl_router_upstream *upstream,
           const struct sl_name *reporter, struct sl_stated_limit limit)
 {
-    double before = upstream->limit.per_s;
-    double change = limit.per_s - before;
-    bool is_news = MAX(change, -change) > Sl_NEWS_CHANGE_SHARE * before;
+    bool spreads = is_news(upstream, limit.per_s);
     upstream->limit = limit;
     SlUpstreamNotices_GetOrAdd(router, upstream)->limit = limit;
-    if (change != 0 && limit.per_s > 0) {
+    if (limit.per_s > 0) {
         /* Slots are numbered anew. Those of the past are not made up for. */
         struct sl_limited_rate rate = rate_of(router, upstream);
         upstream->first_unused_slot =
             SlRateSlots_At(&rate, fleet_clock_us(router)) + 1;
     }
-    if (is_news) {
+    if (spreads) {
         log_limit(router, upstream, reporter, limit.per_s);
         SlDigests_ScheduleEvidence(router, reporter == NULL);
         router->capacity_changed = true;
@@ -302,8 +310,12 @@
         /* As reports give it: routers that differ number the slots apart. */
         double per_s = from_reported(
             to_reported(MAX(head->limit_per_s, Sl_MIN_LIMIT_PER_S)));
-        set_limit(router, upstream, NULL,
-                  (struct sl_stated_limit){per_s, router->now_us});
+        if (is_news(upstream, per_s)) {
+            set_limit(router, upstream, NULL,
+                      (struct sl_stated_limit){per_s, router->now_us});
+        }
+        upstream->limit.stated_us = router->now_us;
+        SlUpstreamNotices_GetOrAdd(router, upstream)->limit = upstream->limit;
     }
     else if (is_own && SlUpstreamLimits_IsLimited(upstream) &&
              call->sent_us > upstream->limit.stated_us) {
@@ -393,14 +405,20 @@
         return;
     }
     int64_t newer_us = limit.stated_us - upstream->limit.stated_us;
-    if (report->per_1000_s != to_reported(upstream->limit.per_s)) {
+    if (is_news(upstream, limit.per_s)) {
         if (newer_us > 0) {
             set_limit(router, upstream, reporter, limit);
         }
+        return;
     }
-    else if (newer_us >= Sl_CONFIRMED_STEP_US && limit.per_s > 0) {
+    if (newer_us >= Sl_CONFIRMED_STEP_US && limit.per_s > 0) {
         upstream->limit.stated_us = limit.stated_us;
     }
+    if (limit.per_s < upstream->limit.per_s) {
+        /* Of values that pass for the same, all routers take the least. */
+        limit.stated_us = upstream->limit.stated_us;
+        set_limit(router, upstream, reporter, limit);
+    }
 }
 
 void
--- a/tests/unit/router_limits.cc
+++ b/tests/unit/router_limits.cc
@@ -234,6 +234,31 @@
     }
 }
 
+// Each response states another value, so that no two routers have heard the
+// same.
+TEST(UpstreamLimits, ThatFluctuateAreSplitAsOne)
+{
+    for (size_t routers : {4, 30}) {
+        Load load = {routers, 3, 3, 2, 60, 0};
+        LimitedFleet limited(load);
+        struct sl_random random = {5};
+        auto steady = limited.fleet.limit_of;
+        limited.fleet.limit_of = [&](const std::string &upstream) {
+            double per_s = steady(upstream);
+            return per_s * (0.96 + 0.08 * SlRandom_Unit(&random));
+        };
+        limited.run_until(first_limited_ms + limited_ms);
+        limited.expect_limits_held(name_of(load));
+        for (const char *upstream : {"u0", "u1", "u2"}) {
+            double used =
+                limited.rate_between(upstream, first_limited_ms + 5000,
+                                     first_limited_ms + limited_ms);
+            EXPECT_LE(used, 1.2 * load.limit) << name_of(load);
+            EXPECT_GE(used, 0.7 * load.limit) << name_of(load);
+        }
+    }
+}
+
 // An upstream that no longer states a limit gets its share again.
 TEST(UpstreamLimits, EndWithTheStatement)
 {
