router: a drain could be undone by a copy with the same sequence number

The store's copy may hold a registration from before the drain that has the sequence number of the one that drains; it was not taken for older, and the upstream was used again (StoreEra.ADrainIsNotUndoneByARegistrationOfTheSame- Sequence, red before).

A registration that does not drain is older than one of the same start that does: an upstream that drains does so until its end.

--- a/lib/router/sl_record_cache.c
+++ b/lib/router/sl_record_cache.c
@@ -85,13 +85,16 @@
     }
     int64_t start_wall_ms = cached == NULL ? 0 : cached->start_wall_ms;
     uint64_t sequence = cached == NULL ? 0 : cached->sequence;
+    bool draining = cached != NULL && cached->draining;
     if (record->type == Sl_RECORD_UPSTREAM && !record->dropped) {
         start_wall_ms = record->u.upstream.start_wall_ms;
         sequence = record->u.upstream.sequence;
+        draining = record->u.upstream.draining;
     }
     cached = g_new0(struct sl_cached_record, 1);
     cached->start_wall_ms = start_wall_ms;
     cached->sequence = sequence;
+    cached->draining = draining;
     cached->offset = record->offset;
     cached->key = (struct sl_str){g_memdup2(record->key.ptr, record->key.len),
                                   record->key.len};
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -510,6 +510,7 @@
     /* Of an upstream's registration, or the last one before the drop. */
     int64_t start_wall_ms;
     uint64_t sequence;
+    bool draining;
 };
 
 /* What the next digest to the routers that get their updates from this one
--- a/lib/router/sl_store_era.c
+++ b/lib/router/sl_store_era.c
@@ -146,7 +146,8 @@
 }
 
 /* Returns true if the registration is older than the known one, or the same
- * one while its upstream has been removed since. */
+ * one while its upstream has been removed since. An upstream that drains does
+ * so until its end. */
 static bool
 is_older_registration(const struct sl_cached_record *known,
                       const struct sl_registration *reg)
@@ -154,6 +155,9 @@
     if (known->start_wall_ms != reg->start_wall_ms) {
         return reg->start_wall_ms < known->start_wall_ms;
     }
+    if (known->draining && !reg->draining) {
+        return true;
+    }
     return known->value == NULL ? reg->sequence <= known->sequence
                                 : reg->sequence < known->sequence;
 }
--- a/tests/unit/router_store_era.cc
+++ b/tests/unit/router_store_era.cc
@@ -23,7 +23,8 @@
     // Routers that the store refuses.
     std::set<size_t> refused;
 
-    explicit RestoredFleet(size_t routers)
+    // `drain_sequence`: of the registration as draining.
+    explicit RestoredFleet(size_t routers, uint64_t drain_sequence = 2)
     {
         fleet.encodes_digests = true;
         fleet.seeds = {"e1", "e2"};
@@ -36,7 +37,7 @@
         fleet.advance_ms(3000);
         fleet.copy_store();
         fleet.append(Sl_FEED_OPERATORS, "config", configuration(2));
-        register_upstream("u", 2, true);
+        register_upstream("u", drain_sequence, true);
         fleet.advance_ms(3000);
         expect_in_force(2);
     }
@@ -121,6 +122,14 @@
     }
 }
 
+// The registrations before and during the drain may have the same number.
+TEST(StoreEra, ADrainIsNotUndoneByARegistrationOfTheSameSequence)
+{
+    RestoredFleet restored(4, 1);
+    restored.restore();
+    restored.observe_ms(2000, 2);
+}
+
 TEST(StoreEra, HoldsAfterSeveralReturns)
 {
     for (size_t routers : fleet_sizes) {
