router: requests to limited engines were refused late

While all engines of a service state limits and clients wait for long, requests queue up for as long as they can wait.

Change: the interval between slots counts a quarter longer when a request arrives.

--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -21,6 +21,12 @@
  * they take requests is certain then. */
 #define Sl_MAX_BACKOFF_RETRY_AFTER_US (60 * Sl_US_PER_S)
 
+/* The time between two requests to limited upstreams counts as that much
+ * longer when a request arrives. The slots of a rate come unevenly: of
+ * requests that are expected to make it only just, many would be refused late.
+ */
+#define Sl_LIMITED_INTERVAL_FACTOR 1.25
+
 /* ---- the queue ---- */
 
 /* Orders requests by priority, and by arrival within a priority. */
@@ -211,6 +217,20 @@
     SlRoutedRequest_Fail(router, request, &refusal);
 }
 
+/* Corrects the expected wait of a request that has just arrived while all
+ * upstreams are limited, so that it is refused now rather than later. */
+static void
+expect_uneven_slots(const struct sl_router *router,
+                    const struct sl_routed_request *request,
+                    struct sl_placement *placement)
+{
+    if (request->queued_us == router->now_us) {
+        placement->limited_interval_us =
+            (int64_t)((double)placement->limited_interval_us *
+                      Sl_LIMITED_INTERVAL_FACTOR);
+    }
+}
+
 /* Waiting requests of one dispatch. */
 struct sl_queue_dispatch {
     GPtrArray *waiting; /* a copy of the queue, which changes while requests
@@ -273,6 +293,7 @@
             ? SlPlacement_Choose(router, request)
             : SlAdmissionControl_Place(dispatch->pass, index);
     struct sl_admission_decision admission = {.action = Sl_ADMISSION_ADMIT};
+    expect_uneven_slots(router, request, &placement);
     size_t ahead_count = GPOINTER_TO_SIZE(
         g_hash_table_lookup(dispatch->ahead_counts, request->service));
     if (placement.serving_count > 0) {
--- a/tests/unit/router_limits.cc
+++ b/tests/unit/router_limits.cc
@@ -44,6 +44,8 @@
     std::vector<int64_t> refused_after_us; // times that refused clients waited
     // When the router had passed on a response with the upstream's limit.
     std::map<std::pair<size_t, std::string>, int64_t> told;
+    int64_t prompt_tokens = 0;
+    int64_t deadline_ms = 3000;
     std::set<size_t> excused; // routers whose requests do not count
     std::function<void(int64_t)> on_step; // with the ms since the start
 
@@ -100,8 +102,8 @@
                 if (fleet.frozen.count(router) == 0) {
                     std::string session =
                         std::to_string(SlRandom_Below(&random, 1000));
-                    fleet.send_request(router, "/s/x", session, 3000, "m", 0,
-                                       key);
+                    fleet.send_request(router, "/s/x", session, deadline_ms,
+                                       "m", prompt_tokens, key);
                 }
             }
         }
@@ -301,6 +303,51 @@
     }
 }
 
+// The same for engines, whose clients wait for long: a queue builds up.
+void
+expect_early_refusals_at_engines(size_t routers)
+{
+    Load load = {routers, 5, 5, 1, 20, 0};
+    LimitedFleet limited(load);
+    limited.fleet.append(Sl_FEED_OPERATORS, "config",
+                         routing_record("plain", "/s/", 3, {"m"}));
+    limited.prompt_tokens = 400;
+    limited.deadline_ms = 8000;
+    limited.fleet.on_call = [&](const FleetCall &call) {
+        FleetResponse response;
+        limited.arrivals.push_back({call.at_us, call.router, call.upstream});
+        response.after_us = 300 * Sl_US_PER_MS;
+        response.run_us = 2 * Sl_US_PER_S;
+        return response;
+    };
+    limited.run_until(first_limited_ms + 6000);
+    limited.refused_after_us.clear();
+    limited.run_until(first_limited_ms + limited_ms);
+    limited.expect_limits_held(name_of(load));
+    size_t late = 0;
+    for (int64_t after_us : limited.refused_after_us) {
+        late += after_us > Sl_US_PER_S / 2 ? 1 : 0;
+    }
+    EXPECT_GT(limited.refused_after_us.size(), (size_t)100);
+    EXPECT_LE(late * 20, limited.refused_after_us.size()) << name_of(load);
+    EXPECT_GE(limited.rate_between("u0", first_limited_ms + 6000,
+                                   first_limited_ms + limited_ms),
+              0.7 * load.limit)
+        << name_of(load);
+}
+
+TEST(UpstreamLimits, LetNobodyWaitAtEnginesForRoomThatWillNotCome)
+{
+    expect_early_refusals_at_engines(1);
+}
+
+TEST(UpstreamLimits, LetNobodyWaitInAFleetAtEnginesForRoomThatWillNotCome)
+{
+    for (size_t routers : {4, 31}) {
+        expect_early_refusals_at_engines(routers);
+    }
+}
+
 TEST(UpstreamLimits, HoldWhileRoutersRestart)
 {
     for (size_t routers : {4, 30}) {
