router: a limit was dropped when the registration of its instance came late

What was seen: after an absence of the store, the routers read the registration of an upstream that had restarted meanwhile. They dropped the limit that the new instance had already stated, told each other so, and sent without a limit until the next response.

Cause: a new instance was taken to have stated nothing yet, whenever its registration was read.

Now only a limit that was stated before the start of the instance ends, as of that start, so that the report does not outdo a newer statement.

--- a/lib/router/sl_upstream_limits.c
+++ b/lib/router/sl_upstream_limits.c
@@ -274,13 +274,31 @@
     }
 }
 
+/* Returns when the present instance of the upstream has started; the present
+ * time if that is not known. */
+static int64_t
+start_us_of(const struct sl_router *router,
+            const struct sl_router_upstream *upstream)
+{
+    int64_t start_wall_ms = upstream->registration.start_wall_ms;
+    if (start_wall_ms == 0) {
+        return router->now_us;
+    }
+    return router->now_us -
+           MAX(router->wall_ms - start_wall_ms, 0) * Sl_US_PER_MS;
+}
+
 void
 SlUpstreamLimits_OnReplaced(struct sl_router *router,
                             struct sl_router_upstream *upstream)
 {
-    if (SlUpstreamLimits_IsLimited(upstream)) {
+    /* The new instance may have stated its limit before its registration was
+     * read. */
+    int64_t age_us = router->now_us - upstream->limit.stated_us;
+    if (SlUpstreamLimits_IsLimited(upstream) &&
+        SlUpstreamNotices_IsOfEarlierInstance(router, upstream, age_us)) {
         set_limit(router, upstream, NULL,
-                  (struct sl_stated_limit){0, router->now_us});
+                  (struct sl_stated_limit){0, start_us_of(router, upstream)});
     }
 }
 
--- a/tests/unit/router_limits.cc
+++ b/tests/unit/router_limits.cc
@@ -385,6 +385,36 @@
     }
 }
 
+// The store has been away: the routers read that the upstream has restarted
+// after the new instance has stated its limit.
+TEST(UpstreamLimits, HoldWhenTheRegistrationOfTheInstanceComesLate)
+{
+    for (size_t routers : {1, 4, 30}) {
+        Load load = {routers, 3, 1, 1, 60, 0};
+        LimitedFleet limited(load);
+        limited.fleet.on_call = [&](const FleetCall &call) {
+            FleetResponse response;
+            response.after_us = 400 * Sl_US_PER_MS;
+            limited.arrivals.push_back(
+                {call.at_us, call.router, call.upstream});
+            return response;
+        };
+        int64_t wall_ms =
+            limited.fleet.router(0).make_event(Sl_ROUTER_EVENT_TICK).wall_ms;
+        struct sl_record record = upstream_record("u0", "plain", "v1", 64);
+        record.u.upstream.start_wall_ms = wall_ms - 60000;
+        limited.fleet.append(Sl_FEED_UPSTREAMS, "u0", record);
+        record.u.upstream.start_wall_ms = wall_ms + 6000;
+        limited.on_step = [&](int64_t ms) {
+            if (ms == 14000) {
+                limited.fleet.append(Sl_FEED_UPSTREAMS, "u0", record);
+            }
+        };
+        limited.run_until(first_limited_ms + limited_ms);
+        limited.expect_limits_held(name_of(load));
+    }
+}
+
 // Routers that are cut off from each other still reach the upstream.
 TEST(UpstreamLimits, HoldOnEachSideOfACut)
 {
