router: limits went unused if upstreams of more than two services state them

What was seen: with six services whose upstreams state limits, and all traffic at one router, four of them got 1 or 2 requests in 10 s of the 40 that they take (30 routers); their clients were refused.

Cause: a digest holds the demand for two services, always the same two. For the others, each router took the demand of all for equal and kept to an equal part.

Now the two are chosen at random for each digest, and routers remember what a peer has reported for the window that the demand covers.

UpstreamLimits.AreUsedInManyServices failed before: 11 of 40 with 4 routers, 1 or 2 of 40 for four services with 30; now 28 or more.

--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -300,6 +300,14 @@
     return &router->fleet_position;
 }
 
+void
+SlPeers_Free(void *peer_)
+{
+    struct sl_router_peer *peer = peer_;
+    g_hash_table_destroy(peer->demands);
+    g_free(peer);
+}
+
 /* Returns the peer with its domain and address updated; adds it if it is
  * missing. */
 static struct sl_router_peer *
@@ -311,6 +319,7 @@
         peer = g_new0(struct sl_router_peer, 1);
         peer->vm = *vm;
         peer->newest_digest_sent_us = router->now_us;
+        peer->demands = g_hash_table_new_full(NULL, NULL, NULL, g_free);
         g_hash_table_insert(router->peers, &peer->vm, peer);
         SlLogLine_Begin(router, "peer_known");
         SlLogLine_Name(router, "peer", vm);
@@ -395,6 +404,9 @@
         return Sl_DIGEST_IGNORED; /* late */
     }
     bool has_started = peer->digest.boot != digest->boot;
+    if (has_started) {
+        g_hash_table_remove_all(peer->demands);
+    }
     if (has_started || digest->is_leaving != peer->digest.is_leaving) {
         router->fleet_position.computed_us = 0;
     }
--- a/lib/router/sl_router.c
+++ b/lib/router/sl_router.c
@@ -57,7 +57,7 @@
     router->rollout_statuses = g_hash_table_new_full(
         SlName_TableHash, SlName_TableEqual, NULL, g_free);
     router->peers = g_hash_table_new_full(SlName_TableHash, SlName_TableEqual,
-                                          NULL, g_free);
+                                          NULL, SlPeers_Free);
     router->started_us = options->now_us;
     router->stall_check_due_us = Sl_NEVER_US;
     router->health_checks =
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -223,6 +223,12 @@
 
 /* ---- peers ---- */
 
+/* Demand for a service that a peer has reported. */
+struct sl_peer_demand {
+    uint32_t requests;
+    int64_t sent_us; /* when the peer sent the digest with it */
+};
+
 /* Another router of the fleet. Routers send each other digests of their
  * state. */
 struct sl_router_peer {
@@ -237,6 +243,8 @@
     bool is_leader;            /* of its failure domain */
     int64_t relay_due_us; /* when its digest is to be forwarded; 0: never */
     struct sl_gossip_digest digest; /* the newest; boot 0: none yet */
+    GHashTable *demands; /* hash of service name -> struct sl_peer_demand,
+                            owned */
 };
 
 /* Rank of this router and of its failure domain among the live ones. */
@@ -1169,6 +1177,8 @@
 /* Returns the number of routers that are believed to be live, this one
  * included. */
 size_t SlPeers_FleetSize(const struct sl_router *router);
+/* Frees a peer, struct sl_router_peer. */
+void SlPeers_Free(void *peer);
 /* Returns the number of peers in the failure domain that are believed to be
  * live. */
 size_t SlPeers_CountDomain(const struct sl_router *router,
--- a/lib/router/sl_upstream_limits.c
+++ b/lib/router/sl_upstream_limits.c
@@ -53,12 +53,13 @@
         .place = SlHash_Bytes(0, SlName_Str(&peer->vm)),
         .weight = SlPeers_AllowanceWeight(router, peer),
     };
-    for (size_t i = 0; i < peer->digest.demand_count; i++) {
-        if (peer->digest.demands[i].service == key_of(service)) {
-            claim.demand =
-                claim.weight * (double)peer->digest.demands[i].requests;
-            claim.has_reported = true;
-        }
+    const struct sl_peer_demand *demand =
+        g_hash_table_lookup(peer->demands, GUINT_TO_POINTER(key_of(service)));
+    /* A digest holds the demands for some services only. */
+    if (demand != NULL && peer->newest_digest_sent_us - demand->sent_us <=
+                              router->options.bounds.retry_window_us) {
+        claim.demand = claim.weight * (double)demand->requests;
+        claim.has_reported = true;
     }
     return claim;
 }
@@ -345,21 +346,36 @@
 
 /* ---- reports ---- */
 
-/* Adds the demand for the service, once. */
+/* Adds the service, a struct sl_name, unless the array has it. */
 static void
-add_demand(struct sl_router *router, const struct sl_name *service,
-           struct sl_gossip_digest *digest)
+add_service(GPtrArray *services, const struct sl_name *service)
 {
-    uint32_t key = key_of(service);
-    for (size_t i = 0; i < digest->demand_count; i++) {
-        if (digest->demands[i].service == key) {
+    for (guint i = 0; i < services->len; i++) {
+        if (SlName_Equal(services->pdata[i], service)) {
             return;
         }
     }
-    if (digest->demand_count < Sl_GOSSIP_MAX_DEMANDS) {
-        digest->demands[digest->demand_count++] = (struct sl_gossip_demand){
-            key, (uint32_t)SlRetryBudget_Requests(router, service)};
+    g_ptr_array_add(services, (gpointer)service);
+}
+
+/* Adds the demand for the services; if there are more than a digest holds, for
+ * some of them. They start at random, as peers don't get every digest. */
+static void
+add_demands(struct sl_router *router, const GPtrArray *services,
+            struct sl_gossip_digest *digest)
+{
+    guint count = MIN(services->len, Sl_GOSSIP_MAX_DEMANDS);
+    guint first = services->len > count
+                      ? SlRandom_Below(&router->random, services->len)
+                      : 0;
+    for (guint i = 0; i < count; i++) {
+        const struct sl_name *service =
+            services->pdata[(first + i) % services->len];
+        digest->demands[i] = (struct sl_gossip_demand){
+            key_of(service),
+            (uint32_t)SlRetryBudget_Requests(router, service)};
     }
+    digest->demand_count = count;
 }
 
 /* Returns true if digests report what the upstream has stated. */
@@ -377,10 +393,10 @@
                              struct sl_gossip_digest *digest)
 {
     GPtrArray *reported = g_ptr_array_new();
+    GPtrArray *services = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
     digest->limit_count = 0;
-    digest->demand_count = 0;
     g_hash_table_iter_init(&iter, router->upstreams);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct sl_router_upstream *upstream = value;
@@ -388,9 +404,11 @@
             g_ptr_array_add(reported, value);
         }
         if (SlUpstreamLimits_IsLimited(upstream)) {
-            add_demand(router, &upstream->registration.service, digest);
+            add_service(services, &upstream->registration.service);
         }
     }
+    add_demands(router, services, digest);
+    g_ptr_array_free(services, TRUE);
     /* If there are more than a digest holds, the next one goes on. */
     uint64_t first = digest->sequence * Sl_GOSSIP_MAX_LIMITS;
     while (digest->limit_count < MIN(reported->len, Sl_GOSSIP_MAX_LIMITS)) {
@@ -439,10 +457,27 @@
     }
 }
 
+static void
+note_demands(const struct sl_router *router,
+             const struct sl_gossip_digest *digest)
+{
+    const struct sl_router_peer *peer =
+        g_hash_table_lookup(router->peers, &digest->vm);
+    for (size_t i = 0; i < digest->demand_count; i++) {
+        struct sl_peer_demand *demand = g_new0(struct sl_peer_demand, 1);
+        demand->requests = digest->demands[i].requests;
+        demand->sent_us = peer->newest_digest_sent_us;
+        g_hash_table_insert(peer->demands,
+                            GUINT_TO_POINTER(digest->demands[i].service),
+                            demand);
+    }
+}
+
 void
 SlUpstreamLimits_OnDigest(struct sl_router *router,
                           const struct sl_gossip_digest *digest)
 {
+    note_demands(router, digest);
     for (size_t i = 0; i < digest->limit_count; i++) {
         on_report(router, &digest->vm, &digest->limits[i]);
     }
--- a/tests/unit/router_limits.cc
+++ b/tests/unit/router_limits.cc
@@ -236,6 +236,78 @@
     }
 }
 
+// Returns a configuration with the services s0, s1 and so on, each with a
+// route /s0/ and so on.
+struct sl_record
+services_record(int count)
+{
+    struct sl_record record = {};
+    struct sl_error err;
+    record.type = Sl_RECORD_ROUTING;
+    record.u.routing = SlRouting_New(1);
+    for (int i = 0; i < count; i++) {
+        std::string name = "s" + std::to_string(i);
+        std::string prefix = "/" + name + "/";
+        struct sl_route_service service = {};
+        service.name = SlName_Of(name.c_str());
+        service.slots = 64;
+        SlRouting_AddService(record.u.routing, &service, &err);
+        struct sl_route_target target = {service.name, 1};
+        struct sl_route route = {};
+        route.name = service.name;
+        route.host = Sl_STR("h");
+        route.prefix = view(prefix);
+        route.kind = Sl_ROUTE_IDEMPOTENT;
+        route.is_public = true;
+        route.timeout_us = Sl_US_PER_S;
+        route.target_latency_us = Sl_US_PER_S;
+        route.max_attempts = 2;
+        route.targets = &target;
+        route.target_count = 1;
+        SlRouting_AddRoute(record.u.routing, &route, &err);
+    }
+    return record;
+}
+
+// Upstreams of many services are in need, and one router has all the traffic.
+TEST(UpstreamLimits, AreUsedInManyServices)
+{
+    const int services = 6;
+    const double limit = 4;
+    for (size_t routers : {4, 30}) {
+        Fleet fleet;
+        std::map<std::string, int> counts;
+        int64_t counted_from_us = fleet.now() + 8 * Sl_US_PER_S;
+        fleet.encodes_digests = true;
+        fleet.limit_of = [&](const std::string &) { return limit; };
+        fleet.on_call = [&](const FleetCall &call) {
+            FleetResponse response;
+            response.after_us = 30 * Sl_US_PER_MS;
+            counts[call.upstream] += call.at_us >= counted_from_us ? 1 : 0;
+            return response;
+        };
+        fleet.start(routers, small_bounds());
+        fleet.append(Sl_FEED_OPERATORS, "config", services_record(services));
+        for (int i = 0; i < services; i++) {
+            std::string id = "u" + std::to_string(i);
+            fleet.append(
+                Sl_FEED_UPSTREAMS, id,
+                upstream_record(id, "s" + std::to_string(i), "v1", 64));
+        }
+        for (int step = 0; step < 18000 / Fleet::step_ms; step++) {
+            fleet.advance_step();
+            for (int i = 0; i < services && step % 20 == 0; i++) {
+                fleet.send_request(0, "/s" + std::to_string(i) + "/", "",
+                                   1000);
+            }
+        }
+        for (int i = 0; i < services; i++) {
+            EXPECT_GE(counts["u" + std::to_string(i)], 0.7 * limit * 10)
+                << routers << " routers, u" << i;
+        }
+    }
+}
+
 // Each response states another value, so that no two routers have heard the
 // same.
 TEST(UpstreamLimits, ThatFluctuateAreSplitAsOne)
