router: roll-outs that had ended began again for routers started in a later era

What was seen: if all routers start after the store has come back from a copy, or after a first start of this version on a store that states eras, each roll-out that had ended begins again. A version that had been rolled back gets more than half of the requests, and its status is overwritten with "running".

Cause: a status names its order by the order's offset. The offset holds the era, so that of the order, read in a later era, is another one.

Now the number decides if the status is of an earlier era. A copy that has the status has the order as well, with the same number.

StoreEra.DoesNotBringBackARollOutWhenAllRoutersStartAfterwards failed before: 1593 and 1668 of 3000 requests to the version that had been rolled back, with 1 and 4 routers; now none.

--- a/lib/router/sl_rollouts.c
+++ b/lib/router/sl_rollouts.c
@@ -616,12 +616,25 @@
     }
 }
 
+/* Returns true if the status is of the roll-out. It may name the order by the
+ * offset of an earlier era: a copy of the store that has the status has the
+ * order as well, with the same number. */
+static bool
+is_status_of(const struct sl_rollout_status *status,
+             const struct sl_rollout *rollout)
+{
+    return SlName_Equal(&status->version, &rollout->order.version) &&
+           SlOffset_Number(status->order) ==
+               SlOffset_Number(rollout->offset) &&
+           SlOffset_Era(status->order) <= SlOffset_Era(rollout->offset);
+}
+
 /* Applies a status from the store to its roll-out, if the order is known. */
 static void
 apply_status(struct sl_router *router, const struct sl_rollout_status *status)
 {
     struct sl_rollout *rollout = SlRollouts_Find(router, &status->service);
-    if (rollout == NULL || status->order != rollout->offset) {
+    if (rollout == NULL || !is_status_of(status, rollout)) {
         return;
     }
     if (is_over(rollout) && status->state == Sl_ROLLOUT_RUNNING) {
--- a/tests/unit/router_store_era.cc
+++ b/tests/unit/router_store_era.cc
@@ -180,6 +180,54 @@
     restored.expect_change_in_force(3);
 }
 
+// The status of the roll-out names the order by an offset of the former era,
+// or of a time when the store stated none.
+TEST(StoreEra, DoesNotBringBackARollOutWhenAllRoutersStartAfterwards)
+{
+    for (size_t routers : {1, 4}) {
+        for (uint64_t status_era : {1, 0}) {
+            RestoredFleet restored(routers);
+            Fleet &fleet = restored.fleet;
+            int calls = 0;
+            int target_calls = 0;
+            struct sl_record order = {};
+            struct sl_record status = {};
+            order.type = Sl_RECORD_ROLLOUT;
+            order.u.rollout.service = SlName_Of("plain");
+            order.u.rollout.version = SlName_Of("v2");
+            order.u.rollout.duration_us = 10 * Sl_US_PER_S;
+            status.type = Sl_RECORD_STATUS;
+            status.u.status.service = order.u.rollout.service;
+            status.u.status.version = order.u.rollout.version;
+            status.u.status.state = Sl_ROLLOUT_ROLLED_BACK;
+            status.u.status.order = SlOffset_Of(
+                status_era, SlOffset_Number(fleet.end(Sl_FEED_OPERATORS)));
+            fleet.append(Sl_FEED_UPSTREAMS, "w",
+                         upstream_record("w", "plain", "v2", 64));
+            fleet.append(Sl_FEED_OPERATORS, "rollout/plain", order);
+            fleet.append(Sl_FEED_STATUS, "rollout/plain", status);
+            fleet.copy_store();
+            fleet.restore_store();
+            for (size_t i = 0; i < routers; i++) {
+                fleet.restart(i);
+            }
+            fleet.advance_ms(2000);
+            fleet.on_call = [&](const FleetCall &call) {
+                calls++;
+                target_calls += call.upstream == "w" ? 1 : 0;
+                return FleetResponse();
+            };
+            for (int i = 0; i < 3000; i++) {
+                fleet.send_request((size_t)i % routers, "/s/",
+                                   std::to_string(i), 1000, "m", 0, "key");
+                fleet.advance_step();
+            }
+            EXPECT_EQ(calls, 3000);
+            EXPECT_EQ(target_calls, 0) << status_era;
+        }
+    }
+}
+
 // Lost records are not asked for again and again.
 TEST(StoreEra, CostsFewReads)
 {
