--- a/lib/router/sl_peers.c
+++ b/lib/router/sl_peers.c
@@ -301,9 +301,9 @@
 }
 
 void
-SlPeers_Free(void *peer_)
+SlPeers_Free(void *data)
 {
-    struct sl_router_peer *peer = peer_;
+    struct sl_router_peer *peer = data;
     g_hash_table_destroy(peer->demands);
     g_free(peer);
 }
