router: a starting router that learnt of the store's return before it had records took the copy

It knew the era from a peer's digest, had records of the time before from another peer, and did not carry them: what it read then replaced them. The time in which records are carried begins with the first records of an earlier era now, too.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -833,6 +833,7 @@
             read_after(router, event->u.feed.feed, Sl_PULLED_CHECK_US);
         }
         apply_records(router, event);
+        SlStoreEra_OnPulled(router, event->u.feed.feed);
         state->current_per_peers_us =
             MAX(state->current_per_peers_us, state->pulled_records_current_us);
     }
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1964,6 +1964,9 @@
  * it states none. Returns true if it has come back from a copy: the reads that
  * are under way must be sent again. */
 bool SlStoreEra_Note(struct sl_router *router, uint64_t era);
+/* Handles that records of the feed were pulled from a peer, which may not know
+ * of the newest era yet. */
+void SlStoreEra_OnPulled(struct sl_router *router, enum sl_feed feed);
 /* Returns true if the feed has to be read as a whole, as its records are of an
  * earlier era. They stay in use until then. */
 bool SlStoreEra_MustReadAgain(const struct sl_router *router,
--- a/lib/router/sl_store_era.c
+++ b/lib/router/sl_store_era.c
@@ -56,17 +56,10 @@
     return false;
 }
 
-bool
-SlStoreEra_Note(struct sl_router *router, uint64_t era)
+/* Begins to carry what is in force over into the era of the store. */
+static void
+begin_carrying(struct sl_router *router, int64_t before)
 {
-    if (era <= router->store_era) {
-        return false;
-    }
-    int64_t before = SlStoreEra_Stated(router);
-    router->store_era = era;
-    if (!has_records(router)) {
-        return false;
-    }
     SlLogLine_Begin(router, "store_era");
     SlLogLine_Int(router, "era", SlStoreEra_Stated(router));
     SlLogLine_Int(router, "before", before);
@@ -80,9 +73,32 @@
                  router, 0);
     SlRollouts_OnStoreEra(router);
     SlDigests_RegisterAgain(router);
+}
+
+bool
+SlStoreEra_Note(struct sl_router *router, uint64_t era)
+{
+    if (era <= router->store_era) {
+        return false;
+    }
+    int64_t before = SlStoreEra_Stated(router);
+    router->store_era = era;
+    if (!has_records(router)) {
+        return false;
+    }
+    begin_carrying(router, before);
     return true;
 }
 
+void
+SlStoreEra_OnPulled(struct sl_router *router, enum sl_feed feed)
+{
+    uint64_t era = SlOffset_Era(router->feeds[feed].next_offset);
+    if (era < router->store_era && router->carried_until_us == 0) {
+        begin_carrying(router, (int64_t)era - 1);
+    }
+}
+
 bool
 SlStoreEra_MustReadAgain(const struct sl_router *router, enum sl_feed feed)
 {
--- a/tests/unit/router_store_era.cc
+++ b/tests/unit/router_store_era.cc
@@ -228,6 +228,38 @@
     }
 }
 
+// The store is away for a while, router 1 restarts around its return.
+void
+restart_around_return(size_t routers, int64_t away_ms, int64_t restart_ms)
+{
+    RestoredFleet restored(routers);
+    restored.set_store(false);
+    for (int64_t ms = 0; ms < away_ms + 2000; ms += Fleet::step_ms) {
+        if (ms == away_ms) {
+            restored.fleet.restore_store();
+            restored.set_store(true);
+        }
+        if (ms == restart_ms) {
+            restored.fleet.restart(1);
+        }
+        restored.fleet.advance_step();
+        if (restored.fleet.router(1).router->routing != nullptr) {
+            restored.expect_in_force(2);
+        }
+    }
+    restored.expect_change_in_force(3);
+}
+
+// A router may learn of the return before it has records, which are of the
+// time before.
+TEST(StoreEra, DoesNotUndoWhatARouterGetsThatStartsMeanwhile)
+{
+    for (int64_t restart_ms = 400; restart_ms < 900; restart_ms += 20) {
+        SCOPED_TRACE(restart_ms);
+        restart_around_return(4, 500, restart_ms);
+    }
+}
+
 // Lost records are not asked for again and again.
 TEST(StoreEra, CostsFewReads)
 {
