router: a router that started while its peers had stale records took the store's copy

Stale records of peers were passed over, as the store was taken to have newer ones; after a return it has older ones. A starting router now asks its peers first if the store is in a later era than their records.

--- a/lib/router/sl_feeds.c
+++ b/lib/router/sl_feeds.c
@@ -795,6 +795,10 @@
         read_feed(router, feed);
         return;
     }
+    if (!state->has_snapshot && SlInitialSync_MustAskPeers(router, feed)) {
+        read_after(router, feed, Sl_INITIAL_SYNC_CHECK_US);
+        return;
+    }
     apply_records(router, event);
     note_followed_current(router);
     announce_proof(router, proven_before_us, true);
--- a/lib/router/sl_initial_sync.c
+++ b/lib/router/sl_initial_sync.c
@@ -102,15 +102,24 @@
                Sl_FRESH_MS;
 }
 
+/* Returns true if the store has come back from a copy since some peer has read
+ * it: peers may have records that it has lost. */
+static bool
+may_store_lack_records(const struct sl_router *router)
+{
+    return router->lowest_peer_offset != 0 &&
+           SlOffset_Era(router->lowest_peer_offset) < router->store_era;
+}
+
 /* Returns true if the peer has records of the feed that this router may use.
- * Stale records are used only if the store refuses this router: otherwise the
- * store has newer ones. */
+ * Stale records are used only if the store refuses this router or has lost
+ * records: otherwise it has newer ones. */
 static bool
 has_usable_records(const struct sl_router *router, enum sl_feed feed,
                    const struct sl_router_peer *peer)
 {
     return has_live_digest(router, peer) && peer->digest.offsets[feed] > 0 &&
-           (is_fresh(router, peer) ||
+           (is_fresh(router, peer) || may_store_lack_records(router) ||
             router->feeds[feed].failing_since_us != 0);
 }
 
@@ -138,6 +147,20 @@
     return has_records;
 }
 
+static bool
+has_any_usable(const struct sl_router *router, enum sl_feed feed)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, router->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (has_usable_records(router, feed, value)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- choice of a peer ---- */
 
 /* Returns true if the feed's records may be pulled from that peer by now. */
@@ -291,6 +314,20 @@
     return SlPeers_HasLiveDigest(router) && must_wait_for_readers(router);
 }
 
+bool
+SlInitialSync_MustAskPeers(struct sl_router *router, enum sl_feed feed)
+{
+    struct sl_feed_state *state = &router->feeds[feed];
+    if (feed >= Sl_GOSSIP_FEED_COUNT || !may_store_lack_records(router)) {
+        return false;
+    }
+    if (state->first_peer_records_us == 0 && has_any_usable(router, feed)) {
+        state->first_peer_records_us = router->now_us;
+    }
+    return state->first_peer_records_us != 0 &&
+           router->now_us - state->first_peer_records_us < Sl_OFFER_WAIT_US;
+}
+
 /* ---- events ---- */
 
 void
@@ -298,6 +335,11 @@
                        const struct sl_gossip_digest *digest)
 {
     struct sl_feed_state *state = &router->feeds[feed];
+    if (digest->offsets[feed] > 0 &&
+        (router->lowest_peer_offset == 0 ||
+         digest->offsets[feed] < router->lowest_peer_offset)) {
+        router->lowest_peer_offset = digest->offsets[feed];
+    }
     const struct sl_router_peer *peer =
         g_hash_table_lookup(router->peers, &digest->vm);
     if (has_usable_records(router, feed, peer)) {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -597,7 +597,9 @@
     struct sl_feed_state feeds[Sl_FEED_COUNT];
     /* Records that the store has lost stay in force until then at most. */
     int64_t carried_until_us;
-    uint64_t store_era;        /* the newest that the store has stated */
+    uint64_t store_era;          /* the newest that the store has stated */
+    uint64_t lowest_peer_offset; /* that peers have told while this router had
+                                    no records; 0: none */
     int64_t store_answered_us; /* when the store last answered this router; 0:
                                   never */
     int64_t fleet_store_answered_us; /* when it last answered any router; 0:
@@ -1884,6 +1886,10 @@
  * begin to pull the records from a peer, or start the read of the member
  * records, which name the peers. */
 bool SlInitialSync_TryPeers(struct sl_router *router, enum sl_feed feed);
+/* Returns true if the records that a starting router has read from the store
+ * are not to be applied until those of peers are: the store may have lost
+ * some that peers have. */
+bool SlInitialSync_MustAskPeers(struct sl_router *router, enum sl_feed feed);
 /* Handles a peer's digest, which says what records the peer has, while this
  * router has no records of the feed yet. */
 void SlInitialSync_OnDigest(struct sl_router *router, enum sl_feed feed,
--- a/tests/unit/router_store_era.cc
+++ b/tests/unit/router_store_era.cc
@@ -260,6 +260,18 @@
     }
 }
 
+// A router that starts while its peers have only stale records reads the
+// store.
+TEST(StoreEra, DoesNotUndoWhatIsInForceAtPeersWithStaleRecords)
+{
+    for (size_t routers : {2, 4, 30}) {
+        for (int64_t restart_ms = 4500; restart_ms < 6200; restart_ms += 50) {
+            SCOPED_TRACE(restart_ms);
+            restart_around_return(routers, 5000, restart_ms);
+        }
+    }
+}
+
 // Lost records are not asked for again and again.
 TEST(StoreEra, CostsFewReads)
 {
