router: a router that started took the store's copy while its peers' proofs were still old

For some 100 ms after peers have learnt of the return, their digests call their records stale although they have what the store has lost. Digests tell now that their sender carries such records, and a starting router asks it first.

--- a/lib/gossip/sl_gossip.c
+++ b/lib/gossip/sl_gossip.c
@@ -340,9 +340,10 @@
     pack_name(packer, &digest->domain);
     pack_name(packer, &digest->address);
     msgpack_pack_uint64(packer, digest->boot);
-    /* `leaving` is the lowest bit of the encoded sequence number. */
-    msgpack_pack_uint64(packer,
-                        digest->sequence << 1 | (digest->is_leaving ? 1 : 0));
+    /* The flags are the lowest bits of the encoded sequence number. */
+    msgpack_pack_uint64(packer, digest->sequence << 2 |
+                                    (digest->is_carrying ? 2 : 0) |
+                                    (digest->is_leaving ? 1 : 0));
     msgpack_pack_uint32(packer, digest->live_domain_peers);
     msgpack_pack_uint8(packer, digest->relay);
     msgpack_pack_uint32(packer, digest->age_ms);
@@ -695,7 +696,8 @@
     digest->address = next_name(&fields);
     digest->boot = next_uint(&fields);
     uint64_t sequence = next_uint(&fields);
-    digest->sequence = sequence >> 1;
+    digest->sequence = sequence >> 2;
+    digest->is_carrying = (sequence & 2) != 0;
     digest->is_leaving = (sequence & 1) != 0;
     digest->live_domain_peers = next_uint32(&fields);
     uint64_t relay = next_uint(&fields);
--- a/lib/gossip/sl_gossip.h
+++ b/lib/gossip/sl_gossip.h
@@ -215,6 +215,8 @@
     uint64_t boot;          /* random number of the sender's process, not 0 */
     uint64_t sequence;      /* grows by one with each digest of this boot */
     bool is_leaving;        /* the sender drains and will exit */
+    bool is_carrying;       /* the store has come back from a copy, which may
+                               lack records that the sender has */
     /* Number of other routers of its failure domain that the sender believes
      * to be live. */
     uint32_t live_domain_peers;
--- a/lib/router/sl_digests.c
+++ b/lib/router/sl_digests.c
@@ -112,6 +112,7 @@
     digest->boot = router->options.boot;
     digest->sequence = ++router->digest_sequence;
     digest->is_leaving = router->draining;
+    digest->is_carrying = router->carried_until_us != 0;
     digest->live_domain_peers =
         (uint32_t)SlPeers_CountDomain(router, &router->options.domain);
     for (size_t i = 0; i < Sl_GOSSIP_FEED_COUNT; i++) {
--- a/lib/router/sl_initial_sync.c
+++ b/lib/router/sl_initial_sync.c
@@ -107,8 +107,9 @@
 static bool
 may_store_lack_records(const struct sl_router *router)
 {
-    return router->lowest_peer_offset != 0 &&
-           SlOffset_Era(router->lowest_peer_offset) < router->store_era;
+    return router->has_carrying_peer ||
+           (router->lowest_peer_offset != 0 &&
+            SlOffset_Era(router->lowest_peer_offset) < router->store_era);
 }
 
 /* Returns true if the peer has records of the feed that this router may use.
@@ -335,6 +336,8 @@
                        const struct sl_gossip_digest *digest)
 {
     struct sl_feed_state *state = &router->feeds[feed];
+    router->has_carrying_peer =
+        router->has_carrying_peer || digest->is_carrying;
     if (digest->offsets[feed] > 0 &&
         (router->lowest_peer_offset == 0 ||
          digest->offsets[feed] < router->lowest_peer_offset)) {
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -598,6 +598,8 @@
     /* Records that the store has lost stay in force until then at most. */
     int64_t carried_until_us;
     uint64_t store_era;          /* the newest that the store has stated */
+    bool has_carrying_peer;      /* some peer's digest has said that it carries
+                                    records, while this router had none */
     uint64_t lowest_peer_offset; /* that peers have told while this router had
                                     no records; 0: none */
     int64_t store_answered_us; /* when the store last answered this router; 0:
--- a/tests/unit/gossip_test.cc
+++ b/tests/unit/gossip_test.cc
@@ -19,6 +19,7 @@
     digest->boot = 77;
     digest->sequence = 5;
     digest->is_leaving = true;
+    digest->is_carrying = true;
     digest->live_domain_peers = 21;
     digest->relay = 2;
     digest->age_ms = 70;
@@ -79,6 +80,7 @@
     EXPECT_STREQ(decoded->address.text, "10.1.0.1:7340");
     EXPECT_EQ(decoded->sequence, 5u);
     EXPECT_TRUE(decoded->is_leaving);
+    EXPECT_TRUE(decoded->is_carrying);
     EXPECT_EQ(decoded->live_domain_peers, 21u);
     EXPECT_EQ(decoded->relay, 2u);
     EXPECT_EQ(decoded->age_ms, 70u);
--- a/tests/unit/router_store_era.cc
+++ b/tests/unit/router_store_era.cc
@@ -272,6 +272,15 @@
     }
 }
 
+// Peers may know of the return while their records still count as stale.
+TEST(StoreEra, DoesNotUndoWhatIsInForceAtPeersThatJustLearntOfTheReturn)
+{
+    for (int64_t restart_ms = 1500; restart_ms < 2500; restart_ms += 20) {
+        SCOPED_TRACE(restart_ms);
+        restart_around_return(9, 1500, restart_ms);
+    }
+}
+
 // Lost records are not asked for again and again.
 TEST(StoreEra, CostsFewReads)
 {
