router: in fleets, requests to limited upstreams were refused late

What was seen: while all engines of a service are limited and clients wait for long, 14 of 219 refusals (4 routers) and 32 of 216 (31) came late; 5% are wanted.

Cause: the parts of a rate followed the numbers of requests, which vary by chance: with 31 routers of 6 requests each, the bounds between the parts moved by half a part a second. So a slot was often another router's by the time at which the request that waited for it should have been sent. And the expected wait of those behind it did not count with that.

Change: of the variance in demand, as much as chance makes is discounted. When a request arrives, slots more than 2 s away, or behind others, are expected as late as one in twenty of random ones would come.

--- a/lib/router/sl_admission_control.c
+++ b/lib/router/sl_admission_control.c
@@ -243,7 +243,7 @@
         .run_us = run_us,
         .begin_us =
             request->service->is_engine ? placement->first_event_us : run_us,
-        .free_us = placement->wait_us,
+        .free_us = placement->wait_us + placement->limited_margin_us,
         .ahead = is_above ? service->kept_above : service->kept_others,
         .interval_us = is_above ? service->allotment.interval_us
                                 : SlAdmission_BacklogUs(
--- a/lib/router/sl_request_queue.c
+++ b/lib/router/sl_request_queue.c
@@ -6,6 +6,8 @@
  */
 #include "sl_router_internal.h"
 
+#include <math.h>
+
 /* Longest time between two dispatches of a queue that is not empty. An
  * upstream may have room because a request of another router has ended, which
  * causes no event here. */
@@ -21,11 +23,14 @@
  * they take requests is certain then. */
 #define Sl_MAX_BACKOFF_RETRY_AFTER_US (60 * Sl_US_PER_S)
 
-/* The time between two requests to limited upstreams counts as that much
- * longer when a request arrives. The slots of a rate come unevenly: of
- * requests that are expected to make it only just, many would be refused late.
- */
-#define Sl_LIMITED_INTERVAL_FACTOR 1.25
+/* The slots of a limited rate come unevenly, and parts of it move between the
+ * routers: of requests that are expected to make it only just, many would be
+ * refused late. When one arrives, as many slots as it needs are expected to
+ * come at random, by so many standard deviations late; one in twenty comes
+ * later. */
+#define Sl_LIMITED_DEVIATIONS 1.65
+/* Few slots that begin within this time go to another router before that. */
+#define Sl_LIMITED_CERTAIN_US (2 * Sl_US_PER_S)
 
 /* ---- the queue ---- */
 
@@ -146,8 +151,8 @@
                               ? placement->limited_interval_us
                               : placement->wait_us;
     int64_t run_us = SlLatency_MeanRunUs(router, &request->service->name);
-    return placement->wait_us + interval_us * (int64_t)ahead_count +
-               run_us / 2 >
+    return placement->wait_us + placement->limited_margin_us +
+               interval_us * (int64_t)ahead_count + run_us / 2 >
            time_left_us(router, request);
 }
 
@@ -217,18 +222,25 @@
     SlRoutedRequest_Fail(router, request, &refusal);
 }
 
-/* Corrects the expected wait of a request that has just arrived while all
+/* Lengthens the expected wait of a request that has just arrived while all
  * upstreams are limited, so that it is refused now rather than later. */
 static void
 expect_uneven_slots(const struct sl_router *router,
                     const struct sl_routed_request *request,
-                    struct sl_placement *placement)
+                    struct sl_placement *placement, size_t ahead_count)
 {
-    if (request->queued_us == router->now_us) {
-        placement->limited_interval_us =
-            (int64_t)((double)placement->limited_interval_us *
-                      Sl_LIMITED_INTERVAL_FACTOR);
+    if (placement->limited_interval_us == 0 ||
+        request->queued_us != router->now_us ||
+        (ahead_count == 0 && placement->wait_us <= Sl_LIMITED_CERTAIN_US)) {
+        return;
     }
+    double slots = (double)ahead_count + 1;
+    double late_slots = slots + Sl_LIMITED_DEVIATIONS * sqrt(slots);
+    int64_t interval_us = placement->limited_interval_us;
+    int64_t expected_us =
+        placement->wait_us + interval_us * (int64_t)ahead_count;
+    int64_t late_us = (int64_t)((double)interval_us * late_slots);
+    placement->limited_margin_us = MAX(late_us - expected_us, 0);
 }
 
 /* Waiting requests of one dispatch. */
@@ -293,9 +305,9 @@
             ? SlPlacement_Choose(router, request)
             : SlAdmissionControl_Place(dispatch->pass, index);
     struct sl_admission_decision admission = {.action = Sl_ADMISSION_ADMIT};
-    expect_uneven_slots(router, request, &placement);
     size_t ahead_count = GPOINTER_TO_SIZE(
         g_hash_table_lookup(dispatch->ahead_counts, request->service));
+    expect_uneven_slots(router, request, &placement, ahead_count);
     if (placement.serving_count > 0) {
         g_hash_table_remove(router->unserved_since_us,
                             &request->service->name);
--- a/lib/router/sl_router_internal.h
+++ b/lib/router/sl_router_internal.h
@@ -1418,6 +1418,8 @@
     /* Mean time between two requests that this router may send to all of them
      * together; 0 unless each limits its rate. */
     int64_t limited_interval_us;
+    /* What a request that has just arrived may have to wait beyond that. */
+    int64_t limited_margin_us;
     bool all_backing_off; /* all upstreams that may serve the request have
                              asked for back-off, so that `wait_us` is
                              certain */
--- a/lib/router/sl_upstream_limits.c
+++ b/lib/router/sl_upstream_limits.c
@@ -6,8 +6,9 @@
  * Digests report a limit, so that it also binds routers that have got no
  * response with it, and that it has ended. The newest statement counts.
  *
- * The routers split the rate in proportion to the demand for the service:
- * digests report how many requests clients have sent to each router lately.
+ * The routers split the rate in proportion to the demand for the service,
+ * where it differs by more than chance: digests report how many requests
+ * clients have sent to each router lately.
  */
 #include "sl_router_internal.h"
 
@@ -110,6 +111,37 @@
     }
 }
 
+/* Discounts the differences in demand that chance alone makes: requests that
+ * come at random vary by as much as their mean number. Followed as they are,
+ * they would move most slots from one router to another each second. */
+static void
+discount_chance(GArray *claims)
+{
+    double weights = 0;
+    double mean = 0;
+    double variance = 0;
+    for (guint i = 0; i < claims->len; i++) {
+        const struct sl_rate_claim *claim =
+            &g_array_index(claims, struct sl_rate_claim, i);
+        weights += claim->weight;
+        mean += claim->demand;
+    }
+    mean /= weights;
+    for (guint i = 0; i < claims->len; i++) {
+        const struct sl_rate_claim *claim =
+            &g_array_index(claims, struct sl_rate_claim, i);
+        double difference = claim->demand / claim->weight - mean;
+        variance += claim->weight * difference * difference / weights;
+    }
+    double kept = variance > mean ? 1 - mean / variance : 0;
+    for (guint i = 0; i < claims->len; i++) {
+        struct sl_rate_claim *claim =
+            &g_array_index(claims, struct sl_rate_claim, i);
+        claim->demand =
+            kept * claim->demand + (1 - kept) * claim->weight * mean;
+    }
+}
+
 static struct sl_rate_part
 compute_part(struct sl_router *router, const struct sl_name *service)
 {
@@ -118,6 +150,7 @@
     double demand = 0;
     struct sl_rate_part part = {0, 0};
     assume_mean_demand(claims);
+    discount_chance(claims);
     for (guint i = 0; i < claims->len; i++) {
         weights += g_array_index(claims, struct sl_rate_claim, i).weight;
         demand += g_array_index(claims, struct sl_rate_claim, i).demand;
--- a/tests/unit/router_limits.cc
+++ b/tests/unit/router_limits.cc
@@ -7,6 +7,10 @@
 
 #include "router_fleet.h"
 
+extern "C" {
+#include "sl_router_internal.h"
+}
+
 namespace {
 
 // The operators' bound: requests to one upstream in any such window, as a
@@ -236,6 +240,28 @@
     }
 }
 
+// Routers with the same traffic have much the same part, though the numbers of
+// requests vary.
+TEST(UpstreamLimits, DoNotMoveWithChance)
+{
+    const double mean_share = 1.0 / 30;
+    LimitedFleet limited({30, 3, 3, 1, 20, 0});
+    limited.run_until(first_limited_ms + 3000);
+    for (int i = 0; i < 10; i++) {
+        double deviation = 0;
+        limited.run_until(limited.ms() + 1000);
+        for (size_t r = 0; r < limited.fleet.size(); r++) {
+            struct sl_router *router = limited.fleet.router(r).router;
+            struct sl_name name = SlName_Of("u0");
+            auto *upstream = static_cast<struct sl_router_upstream *>(
+                g_hash_table_lookup(router->upstreams, &name));
+            deviation +=
+                std::abs(SlUpstreamLimits_PerS(router, upstream) - mean_share);
+        }
+        EXPECT_LE(deviation, 0.2);
+    }
+}
+
 // Returns a configuration with the services s0, s1 and so on, each with a
 // route /s0/ and so on.
 struct sl_record
